--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Election.kt
@@ -0,0 +1,110 @@
+package org.honeyjunction.app
+
+import kotlinx.coroutines.delay
+import org.honeyjunction.io.Clock
+import org.honeyjunction.io.StateClient
+import org.honeyjunction.wire.Condition
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.Write
+import org.honeyjunction.wire.count
+import org.honeyjunction.wire.text
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/** A term won: [leadVersion] is the condition of all its writes. */
+class Term(val number: Long, val leadVersion: Long, val lease: Long, val validUntil: Long)
+
+/** Takes and keeps the term by conditional writes under a lease of the state service. */
+class Election(private val node: String, private val state: StateClient, private val clock: Clock, private val leaseMs: Long) {
+    private val log = LoggerFactory.getLogger(Election::class.java)
+
+    var holder: String? = null
+        private set
+    var term = 0L
+        private set
+
+    /** When the state service last answered. */
+    var contactAt = clock.steady()
+        private set
+
+    /** The lease's own end is counted from when its renewal was sent, less drift and a margin. */
+    private fun validUntil(sentAt: Long) = sentAt + leaseMs - leaseMs / 100 - MARGIN_MS
+
+    /** One look at who holds the term; takes it when nobody does. Returns the term if it was won. */
+    suspend fun look(mayTake: Boolean): Term? {
+        val lead = state.get(Keys.LEAD)
+        contactAt = clock.steady()
+        val value = lead.value
+        if (value != null) {
+            holder = value.text("holder")
+            term = maxOf(term, value.count("term"))
+            // A namesake that holds the term is this node before its restart: nobody acts for it any more.
+            if (holder == node) {
+                lead.lease?.let { state.endLease(it) }
+                holder = null
+            }
+            return null
+        }
+        holder = null
+        return if (mayTake) take() else null
+    }
+
+    private suspend fun take(): Term? {
+        val last = state.get(Keys.TERM)
+        val next = maxOf(last.value?.count("term") ?: 0, term) + 1
+        val sentAt = clock.steady()
+        val lease = state.grantLease(leaseMs)
+        val version = state.commitNow(
+            listOf(Condition(Keys.LEAD, 0), Condition(Keys.TERM, last.version)),
+            listOf(
+                Write(Keys.LEAD, Json.obj().put("holder", node).put("term", next), lease),
+                Write(Keys.TERM, Json.obj().put("term", next)),
+            ),
+        )
+        if (version == null) {
+            state.endLease(lease)
+            return null
+        }
+        log.info("term {} begins", next)
+        holder = node
+        term = next
+        return Term(next, version, lease, validUntil(sentAt))
+    }
+
+    /** Renews until [stillHolding] says no or the lease has ended. */
+    suspend fun keep(term: Term, stillHolding: () -> Boolean, renewed: (Long) -> Unit) {
+        while (stillHolding()) {
+            val sentAt = clock.steady()
+            try {
+                if (!state.extendLease(term.lease)) {
+                    log.warn("the lease of term {} has ended", term.number)
+                    return
+                }
+                contactAt = clock.steady()
+                renewed(validUntil(sentAt))
+                delay(leaseMs / 4)
+            } catch (e: IOException) {
+                log.debug("renewal: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    suspend fun resign(term: Term) {
+        holder = null
+        try {
+            state.endLease(term.lease)
+        } catch (e: IOException) {
+            log.debug("resigning: {}", e.message)
+        }
+    }
+
+    fun sawTerm(seen: Long) {
+        term = maxOf(term, seen)
+    }
+
+    private companion object {
+        const val MARGIN_MS = 250L
+        const val RETRY_MS = 250L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -0,0 +1,254 @@
+package org.honeyjunction.app
+
+import com.fasterxml.jackson.databind.JsonNode
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Listed
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.io.Clock
+import org.honeyjunction.io.HttpClient
+import org.honeyjunction.io.Loop
+import org.honeyjunction.io.StateClient
+import org.honeyjunction.wire.Condition
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.StateCodec
+import org.honeyjunction.wire.WorkerCodec
+import org.honeyjunction.wire.Write
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/** Carries out a holder's effects and brings it the answers. */
+class HolderDriver(
+    val term: Term,
+    val holder: Holder,
+    private val loop: Loop,
+    private val clock: Clock,
+    private val state: StateClient,
+    private val cloud: CloudClient,
+    private val lost: (String) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(HolderDriver::class.java)
+    private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
+    private val workers = HashMap<String, HttpClient>()
+    private val cancelWaiters = HashMap<String, MutableList<CompletableDeferred<JobStage>>>()
+    var validUntil = term.validUntil
+        private set
+
+    /** Sure of being the only holder: answers from memory can't be older than anyone else's. */
+    val certain: Boolean get() = scope.isActive && clock.steady() < validUntil
+
+    fun start(jobsFrom: Long) {
+        holder.leaseUntil(validUntil)
+        scope.launch { tickAll() }
+        scope.launch { followJobs(jobsFrom) }
+        scope.launch { listAll() }
+    }
+
+    fun renewed(until: Long) {
+        validUntil = until
+        holder.leaseUntil(until)
+    }
+
+    fun stop() {
+        scope.cancel()
+        cancelWaiters.values.flatten().forEach { it.cancel() }
+        workers.values.forEach { it.forgetConnections() }
+    }
+
+    /** Does what the core asked for since the last call. */
+    fun settle() {
+        for (effect in holder.drain()) {
+            when (effect) {
+                is Effect.Commit -> scope.launch { commit(effect) }
+                is Effect.Send -> scope.launch { send(effect) }
+                is Effect.Rent -> scope.launch { rent(effect) }
+                is Effect.Release -> scope.launch { release(effect) }
+                is Effect.Cancelled -> cancelWaiters.remove(effect.job)?.forEach {
+                    it.complete(if (effect.done) JobStage.DONE else JobStage.CANCELLED)
+                }
+                is Effect.StepDown -> lost(effect.reason)
+            }
+        }
+    }
+
+    /** The job's final stage once it is durable; null for a job that this holder has not seen. */
+    fun cancel(id: String): CompletableDeferred<JobStage>? {
+        val stage = holder.cancel(id) ?: return null
+        val waiter = CompletableDeferred<JobStage>()
+        if (stage == JobStage.ACTIVE) cancelWaiters.getOrPut(id, ::ArrayList).add(waiter) else waiter.complete(stage)
+        settle()
+        return waiter
+    }
+
+    private suspend fun tickAll() {
+        while (true) {
+            holder.tick(clock.steady())
+            settle()
+            delay(TICK_MS)
+        }
+    }
+
+    private suspend fun followJobs(from: Long) {
+        var since = from
+        while (true) {
+            try {
+                val answer = state.changes(Keys.JOBS, since, WATCH_MS)
+                if (answer == null) {
+                    // Too old to follow: read them all again.
+                    val (entries, revision) = state.scan(Keys.JOBS)
+                    entries.forEach { e -> e.value?.let { seen(it, e.version) } }
+                    since = revision
+                    continue
+                }
+                answer.second.forEach { change -> change.value?.let { seen(it, change.version) } }
+                since = answer.first
+                settle()
+            } catch (e: IOException) {
+                log.debug("following jobs: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private fun seen(value: JsonNode, version: Long) {
+        try {
+            holder.jobSeen(JobCodec.stored(value, version), clock.steady(), clock.wall())
+        } catch (e: MalformedException) {
+            log.error("a job's record can't be read: {}", e.message)
+        }
+    }
+
+    private suspend fun listAll() {
+        while (true) {
+            val machines = ArrayList<Listed>()
+            try {
+                do {
+                    val page = cloud.list(machines.lastOrNull()?.name)
+                    machines += page.machines
+                } while (page.more && page.machines.isNotEmpty())
+                holder.listed(machines, clock.steady())
+                settle()
+            } catch (e: IOException) {
+                log.debug("listing machines: {}", e.message)
+            }
+            delay(LIST_MS)
+        }
+    }
+
+    private suspend fun commit(e: Effect.Commit) {
+        val fence = Condition(Keys.LEAD, term.leadVersion)
+        val conditions = listOf(fence) + e.changes.filterIsInstance<Change.JobOver>().map { Condition(Keys.job(it.job), it.version) }
+        var outcome = state.commit(conditions, e.changes.flatMap { writes(it) })
+        if (outcome == CommitOutcome.REFUSED) outcome = explain(e.changes)
+        if (outcome != CommitOutcome.APPLIED) delay(RETRY_MS)
+        holder.committed(e.id, outcome, clock.steady())
+        settle()
+    }
+
+    private fun writes(change: Change): List<Write> = when (change) {
+        is Change.MachineTasks -> listOf(Write(Keys.machine(change.record.name), StateCodec.machine(change.record)))
+        is Change.MachineGone -> listOf(Write(Keys.machine(change.machine), null))
+        is Change.TasksDone -> listOf(Write(Keys.doneTasks(change.job, change.chunk), Json.obj().put("bits", change.bits)))
+        is Change.JobOver -> {
+            val job = checkNotNull(holder.state.job(change.job))
+            val stage = if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
+            val created = clock.wall() - (clock.steady() - job.createdAt)
+            listOf(
+                Write(Keys.final(change.job), JobCodec.record(job.spec, job.owner, created.coerceAtLeast(0), stage)),
+                Write(Keys.job(change.job), null),
+            )
+        }
+    }
+
+    /** A refusal means a lost term, or that an earlier try of the same write was applied after all. */
+    private suspend fun explain(changes: List<Change>): CommitOutcome =
+        try {
+            val overs = changes.filterIsInstance<Change.JobOver>()
+            when {
+                state.get(Keys.LEAD).version != term.leadVersion -> {
+                    lost("the term was taken")
+                    CommitOutcome.UNKNOWN
+                }
+                overs.isNotEmpty() && overs.all { isOver(it) } -> CommitOutcome.APPLIED
+                else -> {
+                    lost("a record differs from what this term wrote")
+                    CommitOutcome.UNKNOWN
+                }
+            }
+        } catch (e: IOException) {
+            log.debug("reading after a refusal: {}", e.message)
+            CommitOutcome.UNKNOWN
+        }
+
+    private suspend fun isOver(change: Change.JobOver): Boolean {
+        val value = state.get(Keys.final(change.job)).value ?: return false
+        return JobCodec.stored(value, 0).stage == if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
+    }
+
+    private suspend fun send(e: Effect.Send) {
+        val client = workers.getOrPut(e.address) { HttpClient(loop, e.address, keep = 1, bodyLimit = 256 * 1024) }
+        try {
+            val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS)
+            when (r.status) {
+                200 -> holder.commandExecuted(e.id, WorkerCodec.report(r.body), clock.steady())
+                409 -> holder.commandRejected(e.id, WorkerCodec.report(r.body), clock.steady())
+                else -> holder.commandUnanswered(e.id, clock.steady())
+            }
+        } catch (x: IOException) {
+            log.debug("commands to {}: {}", e.machine, x.message)
+            holder.commandUnanswered(e.id, clock.steady())
+        } catch (x: MalformedException) {
+            log.warn("{} answered what can't be read: {}", e.machine, x.message)
+            holder.commandUnanswered(e.id, clock.steady())
+        }
+        settle()
+    }
+
+    private suspend fun rent(e: Effect.Rent) {
+        try {
+            when (val result = cloud.rent(e)) {
+                is CloudClient.Rented -> {
+                    log.info("rented {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
+                    holder.rented(e.request, result.machines, clock.steady())
+                }
+                CloudClient.NoCapacity -> holder.rentalRefused(e.request, clock.steady())
+            }
+        } catch (x: IOException) {
+            log.debug("renting: {}", x.message)
+            holder.rentalUnknown(e.request, clock.steady())
+        }
+        settle()
+    }
+
+    private suspend fun release(e: Effect.Release) {
+        val confirmed = try {
+            cloud.release(e.machines)
+            true
+        } catch (x: IOException) {
+            log.debug("releasing: {}", x.message)
+            false
+        }
+        if (confirmed) log.info("released {}", e.machines)
+        holder.released(e.machines, confirmed, clock.steady())
+        settle()
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val LIST_MS = 3_000L
+        const val WATCH_MS = 20_000L
+        const val RETRY_MS = 300L
+        const val SEND_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -0,0 +1,324 @@
+package org.honeyjunction.app
+
+import com.fasterxml.jackson.databind.JsonNode
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.MachineRecord
+import org.honeyjunction.core.control.Recovered
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.placement.Round
+import org.honeyjunction.core.placement.Summary
+import org.honeyjunction.io.Clock
+import org.honeyjunction.io.HttpServer
+import org.honeyjunction.io.Loop
+import org.honeyjunction.io.NoAnswerException
+import org.honeyjunction.io.PeerClient
+import org.honeyjunction.io.PeerServer
+import org.honeyjunction.io.StateClient
+import org.honeyjunction.io.socketAddress
+import org.honeyjunction.wire.CloudCodec
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.PeerMessage
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import org.honeyjunction.wire.StateCodec
+import org.honeyjunction.wire.WorkerCodec
+import org.honeyjunction.wire.Write
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/** One controller: accepts jobs, places its own, and holds the term when it falls to it. */
+class Node(val settings: Settings, private val tuning: Tuning, private val loop: Loop, val clock: Clock = Clock) {
+    val log = LoggerFactory.getLogger(Node::class.java)
+    val state = StateClient(loop, settings.state, settings.stateLimits, clock)
+    private val cloud = CloudClient(loop, settings.cloud, settings.cloudRps, clock)
+    private val election = Election(settings.node, state, clock, tuning.leaseMs)
+    private val peers = settings.peers.associate { it.name to PeerClient(loop, it.address) }
+    private val users = UserApi(this)
+    private val round = Round(tuning.cost)
+    private var driver: HolderDriver? = null
+    private var standBackUntil = Long.MIN_VALUE
+    private var toldCertainAt = Long.MIN_VALUE / 2
+    private var reports = RecentCount(HEARD_MS)
+    private var typesBody = Response.NO_BODY
+
+    val isHolder: Boolean get() = driver != null
+    val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
+
+    /** Too many writes wait already: another one would not be answered in time. */
+    val overloaded: Boolean get() = state.congested
+
+    private val stateSilent: Boolean get() = clock.steady() - election.contactAt > SILENT_MS
+
+    /** The state service answers the holder, but not this node. */
+    val stateRefused: Boolean get() = stateSilent && clock.steady() - toldCertainAt < SILENT_MS
+
+    fun start() {
+        PeerServer(loop, ::answerPeer).listen(socketAddress(settings.peerListen))
+        HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), ::answer).listen(socketAddress(settings.listen))
+        loop.scope.launch { keepTypes() }
+        loop.scope.launch { takePart() }
+        loop.scope.launch { placeOwn() }
+        log.info("{} listens on {}", settings.node, settings.listen)
+    }
+
+    private suspend fun answer(r: Request): Response = when (r.path) {
+        "/up" -> if (r.method == "GET") up() else Response(405)
+        "/hello" -> if (r.method == "POST") hello(r) else Response(405)
+        else -> users.handle(r)
+    }
+
+    /** Able to take requests: knows the machine types, and is not the only one whom the state service refuses. */
+    private fun up(): Response {
+        val alone = stateSilent && peers.isNotEmpty() && driver?.certain != true && !stateRefused && loneliness()
+        return Response(if (settings.cluster.types.isEmpty() || alone) 503 else 200)
+    }
+
+    /** Cut off from the state service and from every peer. */
+    private fun loneliness() = clock.steady() - heardPeerAt > SILENT_MS * 2
+
+    private var heardPeerAt = clock.steady()
+
+    private fun hello(r: Request): Response {
+        val report = try {
+            WorkerCodec.report(r.body)
+        } catch (e: MalformedException) {
+            log.debug("report: {}", e.message)
+            return Response(400)
+        }
+        reports.note(clock.steady())
+        val current = driver
+        val answer = current?.holder?.hello(report, clock.steady())
+        current?.settle()
+        if (answer != null) return Response(200, WorkerCodec.answer(answer.token, answer.commands))
+        return Response(421, WorkerCodec.redirect(election.holder.takeIf { it != settings.node }))
+    }
+
+    private suspend fun keepTypes() {
+        try {
+            state.get(Keys.TYPES).value?.let { useTypes(Json.write(it)) }
+        } catch (e: IOException) {
+            log.debug("stored machine types: {}", e.message)
+        }
+        while (true) {
+            // One node asks for all; the others read what it stored, unless there is nothing yet.
+            try {
+                if (isHolder || settings.cluster.types.isEmpty()) {
+                    val body = cloud.types()
+                    useTypes(body)
+                    if (isHolder && !body.contentEquals(typesBody)) {
+                        state.commit(emptyList(), listOf(Write(Keys.TYPES, Json.read(body))))
+                        typesBody = body
+                    }
+                }
+            } catch (e: IOException) {
+                log.debug("machine types: {}", e.message)
+            }
+            delay(if (settings.cluster.types.isEmpty()) TYPES_RETRY_MS else TYPES_MS)
+        }
+    }
+
+    private fun useTypes(body: ByteArray) {
+        try {
+            settings.cluster.types.putAll(CloudCodec.types(body, settings.cluster))
+        } catch (e: MalformedException) {
+            log.warn("the machine types can't be read: {}", e.message)
+        }
+    }
+
+    private suspend fun takePart() {
+        while (true) {
+            try {
+                val term = election.look(mayTake = clock.steady() >= standBackUntil)
+                if (term != null) hold(term)
+            } catch (e: IOException) {
+                log.debug("election: {}", e.message)
+            } catch (e: MalformedException) {
+                log.error("the record of the term can't be read: {}", e.message)
+            }
+            delay(LOOK_MS)
+        }
+    }
+
+    private suspend fun hold(term: Term) {
+        val now = clock.steady()
+        val (recovered, jobsFrom) = try {
+            recover()
+        } catch (e: IOException) {
+            log.warn("term {}: can't read what was stored: {}", term.number, e.message)
+            election.resign(term)
+            return
+        }
+        val holder = Holder(
+            settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
+        )
+        val current = HolderDriver(term, holder, loop, clock, state, cloud) { reason -> stepDown(reason) }
+        driver = current
+        current.start(jobsFrom)
+        log.info(
+            "holding term {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
+            recovered.jobs.size, recovered.machines.size,
+        )
+        election.keep(term, { driver === current }, current::renewed)
+        stepDown("the lease has ended")
+    }
+
+    private fun stepDown(reason: String) {
+        val current = driver ?: return
+        log.warn("stepping down from term {}: {}", current.term.number, reason)
+        driver = null
+        current.stop()
+    }
+
+    private suspend fun recover(): Pair<Recovered, Long> {
+        val (jobs, revision) = state.scan(Keys.JOBS)
+        val (done, _) = state.scan(Keys.DONE_TASKS)
+        val (machines, _) = state.scan(Keys.MACHINES)
+        val records = machines.mapNotNull { e -> readable { machineRecord(e.key, e.value) } }
+        val stored = jobs.mapNotNullTo(ArrayList()) { e -> e.value?.let { v -> readable { JobCodec.stored(v, e.version) } } }
+        // Tasks of finished and cancelled jobs may still be on a machine, and count for their team.
+        val missing = records.flatMap { r -> r.tasks.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
+        missing.mapNotNullTo(stored) { finalJob(it) }
+        val chunks = done.mapNotNull { e ->
+            val (id, chunk) = e.key.removePrefix(Keys.DONE_TASKS).split('/')
+            e.value?.get("bits")?.binaryValue()?.let { Triple(id, chunk.toInt(), it) }
+        }
+        return Recovered(stored, chunks, records) to revision
+    }
+
+    private fun machineRecord(key: String, value: JsonNode?): MachineRecord? =
+        value?.let { StateCodec.machine(key.removePrefix(Keys.MACHINES), it) }
+
+    private suspend fun finalJob(id: String): StoredJob? {
+        val e = state.get(Keys.final(id))
+        return e.value?.let { v -> readable { JobCodec.stored(v, e.version) } }
+    }
+
+    /** A record that can't be read must not keep the service from starting; it is told once. */
+    private inline fun <T> readable(read: () -> T): T? =
+        try {
+            read()
+        } catch (e: MalformedException) {
+            log.error("a record can't be read: {}", e.message)
+            null
+        }
+
+    /** This controller's rounds while another node holds the term. */
+    private suspend fun placeOwn() {
+        while (true) {
+            val peer = election.holder.takeIf { !isHolder }?.let(peers::get)
+            if (peer == null) {
+                delay(LOOK_MS)
+                continue
+            }
+            try {
+                val ask = PeerMessage.Ask(settings.node, election.term, reports.count(clock.steady()))
+                when (val told = peer.ask(ask, tuning.summaryMs + PEER_MS)) {
+                    is PeerMessage.Told -> {
+                        heardPeerAt = clock.steady()
+                        if (told.certain) toldCertainAt = clock.steady()
+                        val proposals = round.place(told.summary)
+                        if (proposals.isNotEmpty()) peer.ask(PeerMessage.Propose(told.term, proposals), PEER_MS)
+                        delay(if (proposals.isEmpty()) tuning.roundMs else PAUSE_MS)
+                    }
+                    else -> delay(LOOK_MS)
+                }
+            } catch (e: IOException) {
+                log.debug("summary: {}", e.message)
+                delay(LOOK_MS)
+            }
+        }
+    }
+
+    suspend fun askHolder(question: PeerMessage, timeoutMs: Long): PeerMessage? {
+        val peer = election.holder?.let(peers::get) ?: return null
+        return try {
+            peer.ask(question, timeoutMs).also { heardPeerAt = clock.steady() }
+        } catch (e: NoAnswerException) {
+            log.debug("holder: {}", e.message)
+            null
+        } catch (e: IOException) {
+            log.debug("holder: {}", e.message)
+            null
+        }
+    }
+
+    private suspend fun answerPeer(m: PeerMessage): PeerMessage = when (m) {
+        is PeerMessage.Ask -> {
+            heardPeerAt = clock.steady()
+            val current = driver
+            if (current != null && m.term > current.term.number) stepDown("${m.node} knows a higher term")
+            election.sawTerm(m.term)
+            if (current != null) resignIfDeaf(current, m)
+            driver?.let { PeerMessage.Told(it.term.number, it.certain, summaryFor(it, m.node)) }
+                ?: PeerMessage.NotHolder(election.term)
+        }
+        is PeerMessage.Propose -> {
+            val current = driver?.takeIf { it.term.number == m.term }
+            val accepted = current?.holder?.propose(m.proposals, clock.steady())
+            current?.settle()
+            PeerMessage.Accepted(accepted?.count { it } ?: 0)
+        }
+        is PeerMessage.Forward -> {
+            val r = if (isHolder) users.handle(Request(m.method, m.path, m.body), forwarded = true) else Response(503)
+            PeerMessage.Answer(r.status, r.retryAfterS ?: 0, r.body)
+        }
+        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer ->
+            PeerMessage.NotHolder(election.term)
+    }
+
+    /** Answers as soon as there is something to place, so that a new job need not wait for the next question. */
+    private suspend fun summaryFor(current: HolderDriver, peer: String): Summary {
+        val until = clock.steady() + tuning.summaryMs
+        while (true) {
+            val summary = current.holder.summaryFor(peer, clock.steady())
+            if (summary.rows.isNotEmpty() || clock.steady() >= until || driver !== current) return summary
+            delay(SUMMARY_STEP_MS)
+        }
+    }
+
+    /** A holder whom no worker reaches gives way when a peer still hears some. */
+    private fun resignIfDeaf(current: HolderDriver, m: PeerMessage.Ask) {
+        val now = clock.steady()
+        if (m.workersHeard == 0 || reports.count(now) > 0 || !current.holder.expectsReports(now)) return
+        standBackUntil = now + STAND_BACK_MS
+        stepDown("no worker reaches this node, but ${m.node} hears ${m.workersHeard}")
+        loop.scope.launch { election.resign(current.term) }
+    }
+
+    private companion object {
+        const val LOOK_MS = 400L
+        const val SILENT_MS = 3_000L
+        const val TYPES_MS = 30_000L
+        const val TYPES_RETRY_MS = 1_000L
+        const val PEER_MS = 1_500L
+        const val PAUSE_MS = 100L
+        const val SUMMARY_STEP_MS = 60L
+        const val HEARD_MS = 5_000L
+        const val STAND_BACK_MS = 15_000L
+        const val SOCKET_SHARE = 0.7
+    }
+}
+
+/** Counts what happened within the last [windowMs]. */
+class RecentCount(private val windowMs: Long) {
+    private val times = ArrayDeque<Long>()
+
+    fun note(now: Long) {
+        times.addLast(now)
+        if (times.size > MAX) times.removeFirst()
+    }
+
+    fun count(now: Long): Int {
+        while (times.isNotEmpty() && times.first() < now - windowMs) times.removeFirst()
+        return times.size
+    }
+
+    private companion object {
+        const val MAX = 1_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
@@ -0,0 +1,46 @@
+package org.honeyjunction.app
+
+import com.networknt.schema.JsonSchemaFactory
+import com.networknt.schema.SpecVersion
+import com.fasterxml.jackson.databind.JsonNode
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.placement.CostSettings
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.given
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The operators' own settings: JSON, checked against the published schema. */
+object OperatorSettings {
+    const val SCHEMA = "operator-settings.schema.json"
+
+    fun schemaText(): String = checkNotNull(javaClass.classLoader.getResource(SCHEMA)).readText()
+
+    fun read(file: Path): Tuning = parse(Json.readObject(Files.readAllBytes(file)))
+
+    fun parse(o: JsonNode): Tuning {
+        val schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schemaText())
+        val faults = schema.validate(o)
+        if (faults.isNotEmpty()) throw MalformedException(faults.joinToString("; ") { it.message })
+        val d = Tuning()
+        val cost = o.given("cost")
+        val c = d.cost
+        return d.copy(
+            roundMs = o.ms("round_ms", d.roundMs), summaryMs = o.ms("summary_ms", d.summaryMs),
+            capacityMs = o.ms("capacity_ms", d.capacityMs), idleMs = o.ms("idle_ms", d.idleMs),
+            spareFactor = o.number("spare_factor", d.spareFactor), forecastMs = o.ms("forecast_ms", d.forecastMs),
+            preemptAfterMs = o.ms("preempt_after_ms", d.preemptAfterMs), refusalMs = o.ms("refusal_ms", d.refusalMs),
+            lapseMs = o.ms("lapse_ms", d.lapseMs), leaseMs = o.ms("lease_ms", d.leaseMs),
+            cost = CostSettings(
+                cost.number("alpha", c.alpha), cost.number("beta", c.beta), cost.number("priority_step", c.priorityStep),
+                cost.number("spot_preference", c.spotPreference), cost.number("packing", c.packing),
+                cost.number("aging_per_s", c.agingPerS), cost.number("max_columns", c.maxColumns.toDouble()).toInt(),
+            ),
+        )
+    }
+
+    private fun JsonNode.ms(name: String, otherwise: Long) = given(name)?.longValue() ?: otherwise
+
+    private fun JsonNode?.number(name: String, otherwise: Double) = this?.given(name)?.doubleValue() ?: otherwise
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
@@ -0,0 +1,54 @@
+package org.honeyjunction.app
+
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.io.HttpClient
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.Json
+import java.io.IOException
+import java.net.ServerSocket
+
+/** Starts a node against nothing on loopback and asks it a few things, so that the build can archive its classes. */
+object Rehearsal {
+    fun run(): Int = Loop().use { loop ->
+        val ports = List(4) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+        val settings = Settings.parse(Json.readObject(example(ports).toByteArray()))
+        Node(settings, Tuning(), loop).start()
+        runBlocking {
+            withTimeoutOrNull(3_000) {
+                loop.scope.launch { ask(HttpClient(loop, settings.listen)) }.join()
+            }
+        }
+        0
+    }
+
+    private suspend fun ask(client: HttpClient) {
+        val job = """{"Ref":"j-1","Comb":"c","Colony":"t","Cast":"batch","Precedence":"low","Cells":1,"Vcpus":1.0,
+            "Gpus":0.0,"MemoryGb":1.0,"Brood":"i","PullGb":1.0,"SamePlace":false,"Scatter":false,
+            "BorrowedHives":false,"ForageS":1.0,"CapS":0.0,"SealS":0.0}"""
+        val report = """{"Hive":"m","Address":"127.0.0.1:1","HiveKind":"k","Meadow":"a","BorrowedHives":false,
+            "Flight":1,"Waggle":1,"Crown":0,"Cells":[{"Cell":"j-1/0","Sortie":1,"Stage":"running"}]}"""
+        val questions = listOf(
+            Triple("GET", "/up", ""), Triple("POST", "/v2/runs", job), Triple("GET", "/v2/runs/j-1", ""),
+            Triple("POST", "/v2/runs/j-1/cancel", ""), Triple("POST", "/hello", report),
+        )
+        for ((method, path, body) in questions) {
+            try {
+                client.send(method, path, body.toByteArray(), 500)
+            } catch (e: IOException) {
+                System.err.println("rehearsal: $path: ${e.message}")
+            }
+        }
+    }
+
+    private fun example(ports: List<Int>): String {
+        val (listen, peer, cloud, state) = ports.map { "127.0.0.1:$it" }
+        return """{"host_name":"n","zone":"a","api_addr":"$listen","peer_listen":"$peer","seeds":[],
+            "external":{"cloud":"$cloud","state":"$state"},
+            "params":{"nodes":1,"zones":["a"],"teams":[{"name":"t","gpus":1.0,"gpus_max":2.0}],
+            "workers":{"report_s":1.0,"lease_s":5.0,"gang_wait_s":5.0,"gang_peer_s":2.0,"cancel_s":9.0},
+            "state":{"rps":100.0,"write_rps":50.0,"value_kb":4.0,"txn_ops":8},"cloud":{"rps":2.0,"list_lag_s":1.0}}}"""
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -0,0 +1,95 @@
+package org.honeyjunction.app
+
+import com.fasterxml.jackson.databind.JsonNode
+import org.honeyjunction.core.model.Cluster
+import org.honeyjunction.core.model.Names
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.model.Team
+import org.honeyjunction.io.StateLimits
+import org.honeyjunction.io.socketAddress
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.amount
+import org.honeyjunction.wire.amountOrNull
+import org.honeyjunction.wire.count
+import org.honeyjunction.wire.given
+import org.honeyjunction.wire.list
+import org.honeyjunction.wire.listOrEmpty
+import org.honeyjunction.wire.text
+import java.nio.file.Files
+import java.nio.file.Path
+
+class Peer(val name: String, val address: String)
+
+/** The platform's file, checked. Fields that are not known here are ignored. */
+class Settings(
+    val node: String,
+    val listen: String,
+    val peerListen: String,
+    val peers: List<Peer>,
+    val cloud: String,
+    val state: String,
+    val cluster: Cluster,
+    val stateLimits: StateLimits,
+    val valueBytes: Int,
+    val cloudRps: Double,
+    val listLagMs: Long,
+    val maxSockets: Int,
+) {
+    companion object {
+        fun read(file: Path): Settings = parse(Json.readObject(Files.readAllBytes(file)))
+
+        fun parse(o: JsonNode): Settings {
+            val params = part(o, "params")
+            val external = part(o, "external")
+            val workers = part(params, "workers")
+            val state = part(params, "state")
+            val cloud = part(params, "cloud")
+            val peers = o.listOrEmpty("seeds").map { Peer(it.text("host_name"), address(it, "address")) }
+            return Settings(
+                o.text("host_name"), address(o, "api_addr"), address(o, "peer_listen"), peers,
+                address(external, "cloud"), address(external, "state"),
+                Cluster(
+                    Names().also { names -> params.list("zones").forEach { names.index(it.textValue() ?: invalid("zones")) } },
+                    params.list("teams").map(::team),
+                    leaseMs = millis(workers, "lease_s"), reportMs = millis(workers, "report_s"),
+                    cancelMs = millis(workers, "cancel_s"), gangWaitMs = millis(workers, "gang_wait_s"),
+                    recordTasks = (state.amount("value_kb") * 1024 / RECORD_TASK_BYTES).toInt().coerceAtLeast(1),
+                ),
+                StateLimits(
+                    positive(state, "rps"), positive(state, "write_rps"), state.count("txn_ops").toInt().coerceAtLeast(1),
+                    peers.size + 1,
+                ),
+                (state.amount("value_kb") * 1024).toInt(), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
+                params.given("machine_limits")?.amountOrNull("max_sockets")?.toInt() ?: DEFAULT_SOCKETS,
+            )
+        }
+
+        private fun team(t: JsonNode) = Team(
+            t.text("name"),
+            Resources(t.amountOrNull("cpus") ?: 0.0, t.amountOrNull("gpus") ?: 0.0, 0.0),
+            Resources(t.amountOrNull("cpus_max") ?: 0.0, t.amountOrNull("gpus_max") ?: 0.0, 0.0),
+        )
+
+        private fun part(o: JsonNode, name: String) = o.given(name)?.takeIf { it.isObject } ?: invalid(name)
+
+        private fun positive(o: JsonNode, name: String) = o.amount(name).takeIf { it > 0 } ?: invalid(name)
+
+        private fun millis(o: JsonNode, name: String) = (o.amount(name) * 1000).toLong()
+
+        private fun address(o: JsonNode, name: String): String = o.text(name).also {
+            try {
+                socketAddress(it)
+            } catch (e: IllegalArgumentException) {
+                throw MalformedException("$name: ${e.message}")
+            }
+        }
+
+        private fun invalid(name: String): Nothing = throw MalformedException("$name is missing or invalid")
+
+        private const val DEFAULT_SOCKETS = 1000
+
+        /** A task's entry in a machine's record, generously. */
+        private const val RECORD_TASK_BYTES = 72
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -0,0 +1,141 @@
+package org.honeyjunction.app
+
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.JobStatus
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Verdict
+import org.honeyjunction.core.model.judge
+import org.honeyjunction.wire.Condition
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.PeerMessage
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import org.honeyjunction.wire.Write
+import java.io.IOException
+
+/** What users ask. Every answer is as new as anything that any node has told. */
+class UserApi(private val node: Node) {
+    /** Final stages never change, so they are kept; the oldest make way. */
+    private val finals = object : LinkedHashMap<String, JobStatus>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, JobStatus>) = size > MAX_FINALS
+    }
+
+    suspend fun handle(r: Request, forwarded: Boolean = false): Response {
+        val id = r.path.removePrefix(RUNS).removePrefix("/").removeSuffix(CANCEL)
+        return try {
+            when {
+                r.path == RUNS -> if (r.method == "POST") submit(r, forwarded) else Response(405)
+                !JobCodec.isId(id) -> Response(404)
+                r.path.endsWith(CANCEL) -> if (r.method == "POST") cancel(id, forwarded) else Response(405)
+                else -> if (r.method == "GET") poll(id, forwarded) else Response(405)
+            }
+        } catch (e: IOException) {
+            node.log.debug("{} {}: {}", r.method, r.path, e.message)
+            later()
+        }
+    }
+
+    private suspend fun submit(r: Request, forwarded: Boolean): Response {
+        val spec = try {
+            JobCodec.spec(Json.readObject(r.body))
+        } catch (e: MalformedException) {
+            return Response(400, Json.write(Json.obj().put("error", e.message)))
+        }
+        known(spec.id)?.let { return accepted(200, spec, it) }
+        return when (node.settings.cluster.judge(spec)) {
+            Verdict.UNKNOWN_YET -> later()
+            // What was accepted once stays accepted, even if it could not be today.
+            Verdict.NEVER -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: Response(422)
+            Verdict.FITS -> if (node.overloaded) later() else accept(spec, r, forwarded)
+        }
+    }
+
+    private suspend fun accept(spec: JobSpec, r: Request, forwarded: Boolean): Response {
+        // Refused by the state service alone: the holder can still take the job.
+        if (!forwarded && node.stateRefused) return forward(r) ?: later()
+        val record = JobCodec.record(spec, node.settings.node, node.clock.wall(), JobStage.ACTIVE)
+        val conditions = listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0))
+        return when (node.state.commit(conditions, listOf(Write(Keys.job(spec.id), record)))) {
+            CommitOutcome.APPLIED -> accepted(201, spec, JobStatus(JobStage.ACTIVE, 0, 0))
+            CommitOutcome.REFUSED -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: later()
+            CommitOutcome.UNKNOWN -> later()
+        }
+    }
+
+    private fun accepted(status: Int, spec: JobSpec, job: JobStatus) =
+        Response(status, JobCodec.answer(spec.id, job, counts = false))
+
+    private suspend fun poll(id: String, forwarded: Boolean): Response {
+        known(id)?.let { return found(id, it) }
+        if (!forwarded && !node.isHolder) {
+            val answer = forward(Request("GET", "$RUNS/$id", Response.NO_BODY))
+            if (answer != null && answer.status == 200) return answer
+        }
+        return stored(id)?.let { found(id, status(it)) } ?: Response(404)
+    }
+
+    private fun found(id: String, status: JobStatus): Response {
+        if (status.stage != JobStage.ACTIVE) finals[id] = status
+        return Response(200, JobCodec.answer(id, status, counts = true))
+    }
+
+    private suspend fun cancel(id: String, forwarded: Boolean): Response {
+        finals[id]?.let { return Response(200, JobCodec.answer(id, it, counts = false)) }
+        val driver = node.certainHolder
+        if (driver == null) return if (forwarded) later() else forward(Request("POST", "$RUNS/$id$CANCEL", Response.NO_BODY)) ?: later()
+        var waiter = driver.cancel(id)
+        if (waiter == null) {
+            val job = stored(id) ?: return Response(404)
+            if (job.stage != JobStage.ACTIVE) return Response(200, JobCodec.answer(id, status(job), counts = false))
+            driver.holder.jobSeen(job, node.clock.steady(), node.clock.wall())
+            waiter = driver.cancel(id) ?: return later()
+        }
+        val stage = try {
+            withTimeout(CANCEL_MS) { waiter.await() }
+        } catch (_: TimeoutCancellationException) {
+            return later()
+        }
+        val status = JobStatus(stage, driver.holder.status(id)?.done ?: 0, 0)
+        finals[id] = status
+        return Response(200, JobCodec.answer(id, status, counts = false))
+    }
+
+    private suspend fun forward(r: Request): Response? {
+        val answer = node.askHolder(PeerMessage.Forward(r.method, r.path, r.body), FORWARD_MS) as? PeerMessage.Answer ?: return null
+        return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
+    }
+
+    /** Known for certain without asking anyone: final, or held in the term's memory within its lease. */
+    private fun known(id: String): JobStatus? = finals[id] ?: node.certainHolder?.holder?.certainStatus(id)
+
+    private suspend fun stored(id: String): StoredJob? {
+        val active = node.state.get(Keys.job(id))
+        val entry = if (active.value != null) active else node.state.get(Keys.final(id))
+        return try {
+            entry.value?.let { JobCodec.stored(it, entry.version) }
+        } catch (e: MalformedException) {
+            throw IOException("the record of $id: ${e.message}", e)
+        }
+    }
+
+    private fun status(job: StoredJob) =
+        JobStatus(job.stage, if (job.stage == JobStage.DONE) job.spec.tasks else 0, 0)
+
+    /** Refused at once; the user is told when to come back. */
+    private fun later() = Response(503, retryAfterS = RETRY_S)
+
+    private companion object {
+        const val RUNS = "/v2/runs"
+        const val CANCEL = "/cancel"
+        const val MAX_FINALS = 20_000
+        const val RETRY_S = 1
+        const val CANCEL_MS = 3_000L
+        const val FORWARD_MS = 1_500L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -0,0 +1,207 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.capacity.Bin
+import org.honeyjunction.core.capacity.Forecast
+import org.honeyjunction.core.capacity.Offer
+import org.honeyjunction.core.capacity.Plan
+import org.honeyjunction.core.capacity.Planner
+import org.honeyjunction.core.model.Job
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Machine
+import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Phase
+
+/** Rents, watches and returns machines. */
+class Fleet(private val state: ClusterState, private val queue: Queue, private val startedAt: Long, private val listLagMs: Long) {
+    private class Rental(val offer: Offer, val effect: Effect.Rent, var inFlight: Boolean, var retryAt: Long)
+
+    private val rentals = LinkedHashMap<String, Rental>()
+    private val refusedUntil = HashMap<Offer, Long>()
+    private val forecast = Forecast(state.tuning.forecastMs)
+    private val forecasted = HashSet<Int>()
+    private var releasing = false
+    private var releaseRetryAt = 0L
+    private val listed = HashMap<String, Long>()
+
+    /** What could neither be placed nor rented for at the last planning. */
+    var unmet: Plan? = null
+        private set
+
+    /** Leases run out, machines that never come up, losses that the cloud's list shows. */
+    fun watch(now: Long) {
+        for (m in state.machines) {
+            if (m.phase == MachinePhase.GONE) continue
+            expire(m, now)
+            val type = state.cluster.types[m.type]
+            val bootMs = (type?.bootS ?: DEFAULT_BOOT_S) * 1000
+            val giveUp = when (m.phase) {
+                MachinePhase.BOOTING -> now - m.knownSince > if (m.registered) unheardMs else (bootMs * BOOT_PATIENCE).toLong() + listLagMs
+                MachinePhase.LOST -> true
+                MachinePhase.DRAINING -> m.placements.isEmpty() || m.noticeUntil.let { it != null && now > it + state.cluster.leaseMs }
+                MachinePhase.UP -> cancelledTooLong(m, now)
+                MachinePhase.RELEASING, MachinePhase.GONE -> false
+            }
+            if (giveUp) {
+                m.enter(MachinePhase.RELEASING)
+            }
+        }
+        release(now)
+    }
+
+    /** Time is evidence only at a worker that knows this term: nobody else can have renewed its lease since. */
+    private fun expire(m: Machine, now: Long) {
+        if (m.ackedToken < state.termToken || m.phase >= MachinePhase.LOST && m.phase != MachinePhase.RELEASING) return
+        if (now <= m.lastAnsweredAt + state.cluster.leaseMs * DRIFT + MARGIN_MS) return
+        if (m.lastAnsweredAt <= m.expiredAt) return
+        m.expiredAt = now
+        m.placements.values.toList().forEach { state.remove(it, now) }
+        // What the ended session still has to say is history.
+        m.session++
+        m.sequence = -1
+        if (m.phase != MachinePhase.RELEASING) m.enter(MachinePhase.LOST)
+    }
+
+    /** A hung machine holds cancelled tasks beyond its lease; the release makes sure of them. */
+    private fun cancelledTooLong(m: Machine, now: Long): Boolean =
+        now - m.lastHeardAt > state.cluster.reportMs * 3 && m.placements.values.any {
+            it.task.job.stage == JobStage.CANCELLED && it.stopping && now - m.lastHeardAt > state.cluster.cancelMs / 4
+        }
+
+    private val unheardMs get() = (state.cluster.leaseMs * DRIFT).toLong() + MARGIN_MS
+
+    private fun release(now: Long) {
+        if (releasing || now < releaseRetryAt) return
+        val due = state.machines.filter { it.phase == MachinePhase.RELEASING }.map { it.name }.take(MAX_RELEASE)
+        if (due.isEmpty()) return
+        releasing = true
+        state.effects += Effect.Release(due)
+    }
+
+    fun released(machines: List<String>, confirmed: Boolean, now: Long) {
+        releasing = false
+        if (!confirmed) {
+            releaseRetryAt = now + RETRY_MS
+            return
+        }
+        for (name in machines) {
+            val m = state.machine(name) ?: continue
+            m.placements.values.toList().forEach { state.remove(it, now) }
+            m.enter(MachinePhase.GONE)
+            if (m.registered) forget(m)
+        }
+    }
+
+    private fun forget(m: Machine) {
+        state.commit(listOf(Change.MachineGone(m.name))) { if (it != CommitOutcome.APPLIED) forget(m) }
+    }
+
+    fun listed(machines: List<Listed>, now: Long) {
+        for (entry in machines) {
+            listed.putIfAbsent(entry.name, now)
+            val m = state.machine(entry.name) ?: state.addMachine(entry.name, now - (entry.heldS * 1000).toLong())
+            if (m.phase == MachinePhase.GONE) continue
+            state.describe(m, entry.address, entry.type, entry.zone, entry.spot)
+            if (entry.failed && m.phase < MachinePhase.RELEASING) m.enter(MachinePhase.RELEASING)
+        }
+        val names = machines.mapTo(HashSet()) { it.name }
+        for ((name, since) in listed) {
+            val m = state.machine(name) ?: continue
+            // Once listed, a machine stays listed until it is gone; a list may be older than the one before.
+            if (name in names || m.phase >= MachinePhase.RELEASING || now - since < 4 * listLagMs) continue
+            m.enter(MachinePhase.RELEASING)
+        }
+        listed.keys.removeIf { state.machine(it)?.phase == MachinePhase.GONE && it !in names }
+        for (m in state.machines) {
+            // A record of a machine that the cloud does not know: its release confirms that it is gone.
+            val silent = m.phase == MachinePhase.BOOTING && m.registered && m.name !in names
+            if (silent && now - startedAt > 3 * listLagMs) m.enter(MachinePhase.RELEASING)
+        }
+    }
+
+    fun noteArrival(job: Job, now: Long) {
+        if (forecasted.add(job.index)) forecast.note(state.cluster.classes.index(job.spec.jobClass), job.spec.tasks, queue.sample(job), job.createdAt.coerceAtMost(now))
+    }
+
+    fun plan(now: Long) {
+        retryRentals(now)
+        if (state.cluster.types.isEmpty()) return
+        val bins = bins(now)
+        val zones = state.machines.filter { it.phase <= MachinePhase.UP }.groupingBy { it.zone }.eachCount()
+        val bootMs = (state.cluster.types.values.maxOf { it.bootS } * 1000).toLong()
+        val expected = forecast.expected(now, startedAt, bootMs, state.tuning.spareFactor)
+        val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
+            .plan(queue.rows(now, MAX_ROWS), expected, bins, zones)
+        unmet = plan
+        plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
+        for (m in state.machines) {
+            val idle = m.usable && m.placements.isEmpty() && m.idleSince != Long.MIN_VALUE && now - m.idleSince > state.tuning.idleMs
+            if (idle && m.index !in plan.keep && now - startedAt > state.tuning.idleMs) m.enter(MachinePhase.DRAINING)
+        }
+    }
+
+    private fun bins(now: Long): List<Bin> {
+        val there = state.machines.filter { m ->
+            val type = state.cluster.types[m.type] ?: return@filter false
+            m.usable || m.phase == MachinePhase.BOOTING && now - m.knownSince < type.bootS * 1000 * BOOT_EXPECTED
+        }.map { Bin(it.index, Offer(it.type, it.zone, it.spot), state.room(it), it.placements.isEmpty()) }
+        val asked = rentals.values.flatMap { r ->
+            List(r.effect.count) { Bin(-1, r.offer, state.cluster.types.getValue(r.offer.type).size, true) }
+        }
+        return there + asked
+    }
+
+    private fun rent(offer: Offer, count: Int, now: Long) {
+        if (rentals.values.any { it.offer == offer }) return
+        // Term and sequence: a name that no other holder, before or after a restart, can have used.
+        val name = "r-${state.term}-${state.nextSequence() and 0xFFFFFF}"
+        val effect = Effect.Rent(
+            name, offer, state.cluster.types.getValue(offer.type).name, state.cluster.zones.name(offer.zone), count,
+        )
+        rentals[name] = Rental(offer, effect, true, now)
+        state.effects += effect
+    }
+
+    private fun retryRentals(now: Long) {
+        for (r in rentals.values) {
+            if (r.inFlight || now < r.retryAt) continue
+            r.inFlight = true
+            state.effects += r.effect
+        }
+    }
+
+    fun rented(request: String, machines: List<String>, now: Long) {
+        val rental = rentals.remove(request) ?: return
+        for (name in machines) {
+            val m = state.addMachine(name, now)
+            if (m.phase == MachinePhase.BOOTING && m.type < 0) state.describe(m, null, rental.effect.type, rental.effect.zone, rental.offer.spot)
+        }
+        if (machines.size < rental.effect.count) refusedUntil[rental.offer] = now + state.tuning.refusalMs
+    }
+
+    fun rentalRefused(request: String, now: Long) {
+        val rental = rentals.remove(request) ?: return
+        refusedUntil[rental.offer] = now + state.tuning.refusalMs
+    }
+
+    /** The outcome is not known: the same name is asked again, which rents nothing twice. */
+    fun rentalUnknown(request: String, now: Long) {
+        val rental = rentals[request] ?: return
+        rental.inFlight = false
+        rental.retryAt = now + RETRY_MS
+    }
+
+    /** Whether some machine's tasks are still known only from the record of an earlier term. */
+    val unheard: Boolean get() = state.liveMachines.any { m -> m.placements.values.any { it.phase == Phase.UNHEARD } }
+
+    private companion object {
+        const val DRIFT = 1.002
+        const val MARGIN_MS = 300L
+        const val DEFAULT_BOOT_S = 60.0
+        const val BOOT_PATIENCE = 3.0
+        const val BOOT_EXPECTED = 1.8
+        const val MAX_RELEASE = 100
+        const val MAX_RENT = 50
+        const val MAX_ROWS = 400
+        const val RETRY_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -0,0 +1,220 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.model.Cluster
+import org.honeyjunction.core.model.Job
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.placement.Preemption
+import org.honeyjunction.core.placement.Proposal
+import org.honeyjunction.core.placement.Room
+import org.honeyjunction.core.placement.Round
+import org.honeyjunction.core.placement.Running
+import org.honeyjunction.core.placement.Summary
+
+class HelloAnswer(val token: Long, val commands: List<Command>)
+
+class JobStatus(val stage: JobStage, val done: Int, val running: Int)
+
+/** What the state service knew when the term began. */
+class Recovered(
+    val jobs: List<StoredJob>,
+    val doneChunks: List<Triple<String, Int, ByteArray>>,
+    val machines: List<MachineRecord>,
+)
+
+/**
+ * The holder of a term: the machine controller of all machines. Events and the time go in, effects come out; it does
+ * no input or output and reads no clock.
+ */
+class Holder(
+    cluster: Cluster,
+    private val tuning: Tuning,
+    val term: Long,
+    private val node: String,
+    recovered: Recovered,
+    private val startedAt: Long,
+    wallNow: Long,
+    listLagMs: Long,
+) {
+    val state = ClusterState(cluster, tuning, term)
+    private val lifecycle = Lifecycle(state)
+    private val reports = Reports(state, lifecycle)
+    private val starts = Starts(state)
+    private val queue = Queue(state)
+    private val fleet = Fleet(state, queue, startedAt, listLagMs)
+    private val round = Round(tuning.cost)
+    private val heardFrom = HashMap<String, Long>()
+    private var nextRoundAt = startedAt
+    private var nextPlanAt = startedAt
+    private var outbid = false
+
+    init {
+        recovered.jobs.forEach { state.addJob(it, startedAt, wallNow) }
+        recovered.doneChunks.forEach { (id, chunk, bits) -> state.job(id)?.let { lifecycle.restore(it, chunk, bits) } }
+        recovered.machines.forEach { recover(it, startedAt) }
+        state.active.values.forEach { fleet.noteArrival(it, startedAt) }
+    }
+
+    private fun recover(record: MachineRecord, now: Long) {
+        val machine = state.addMachine(record.name, now)
+        state.describe(machine, record.address, record.type, record.zone, record.spot)
+        machine.registered = true
+        machine.session = record.session
+        machine.sequence = -1
+        machine.recorded = record.tasks.mapTo(HashSet()) { "${it.job}/${it.number}" }
+        for (t in record.tasks) {
+            val task = state.job(t.job)?.tasks?.getOrNull(t.number) ?: continue
+            if (task.doneDurable) continue
+            val placement = state.place(task, machine, t.attempt, Phase.UNHEARD, now)
+            if (task.job.stage != JobStage.ACTIVE) placement.askToStop(0.0)
+        }
+        // What the record names was perhaps never fetched.
+        machine.images.clear()
+    }
+
+    fun drain(): List<Effect> = ArrayList(state.effects).also { state.effects.clear() }
+
+    fun leaseUntil(until: Long) {
+        state.leaseValidUntil = until
+    }
+
+    /** A worker's report; null when this node has no right to answer it. */
+    fun hello(report: Report, now: Long): HelloAnswer? {
+        if (outdone(report.token)) return null
+        reports.absorb(report, now)
+        val machine = state.addMachine(report.machine, now)
+        machine.lastAnsweredAt = now
+        lifecycle.flush()
+        starts.flush(now)
+        val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }
+        return HelloAnswer(machine.token, forget.map { Command.Forget(it.task, it.attempt) })
+    }
+
+    /** A result must be durable before its only other copy is given up. */
+    private fun mayForget(said: ReportedTask): Boolean {
+        val ended = said.state as TaskState.Ended
+        val job = state.job(said.job) ?: return ended.cause != Cause.DONE
+        return ended.cause != Cause.DONE || job.stage != JobStage.ACTIVE ||
+            job.tasks.getOrNull(said.number)?.doneDurable != false
+    }
+
+    private fun outdone(token: Long): Boolean {
+        if (token shr ClusterState.SEQUENCE_BITS <= term) return false
+        if (!outbid) state.effects += Effect.StepDown("a worker has seen a higher term")
+        outbid = true
+        return true
+    }
+
+    fun commandExecuted(id: Long, report: Report, now: Long) {
+        starts.executed(id, report) { if (!outdone(it.token)) reports.absorb(it, now) }
+        settle(now)
+    }
+
+    fun commandRejected(id: Long, report: Report, now: Long) {
+        starts.rejected(id, report, now) { if (!outdone(it.token)) reports.absorb(it, now) }
+        settle(now)
+    }
+
+    fun commandUnanswered(id: Long, now: Long) = starts.unanswered(id, now)
+
+    fun committed(id: Long, outcome: CommitOutcome, now: Long) {
+        state.committed(id, outcome)
+        settle(now)
+    }
+
+    private fun settle(now: Long) {
+        lifecycle.flush()
+        starts.flush(now)
+    }
+
+    fun jobSeen(stored: StoredJob, now: Long, wallNow: Long) {
+        if (state.job(stored.spec.id) != null) return
+        val job = state.addJob(stored, now, wallNow)
+        if (job.stage != JobStage.ACTIVE) return
+        fleet.noteArrival(job, now)
+        nextRoundAt = minOf(nextRoundAt, now + NEW_JOB_MS)
+        nextPlanAt = minOf(nextPlanAt, now + NEW_JOB_MS)
+    }
+
+    fun cancel(id: String): JobStage? {
+        val job = state.job(id) ?: return null
+        if (job.stage == JobStage.ACTIVE) lifecycle.cancel(job)
+        return job.stage
+    }
+
+    fun status(id: String): JobStatus? = state.job(id)?.let { job ->
+        JobStatus(job.stage, job.doneCount, job.tasks.count { t -> t.placements.any { it.phase == Phase.RUNNING } })
+    }
+
+    /** Null while the final record is on its way: it may be durable already, and others may read it. */
+    fun certainStatus(id: String): JobStatus? = status(id)?.takeUnless { it.stage == JobStage.ACTIVE && state.job(id)!!.closing }
+
+    /** Machines that should have reported by now, had their reports come through. */
+    fun expectsReports(now: Long): Boolean =
+        now - startedAt > state.cluster.reportMs * 3 && state.liveMachines.any { it.phase == MachinePhase.UP || it.registered }
+
+    /** The rows of [peer]'s jobs; asking shows that it is alive. */
+    fun summaryFor(peer: String, now: Long): Summary {
+        heardFrom[peer] = now
+        return queue.summary(now, MAX_ROWS) { it.owner == peer }
+    }
+
+    fun propose(proposals: List<Proposal>, now: Long): List<Boolean> {
+        val accepted = starts.accept(proposals, now)
+        starts.flush(now)
+        return accepted
+    }
+
+    fun listed(machines: List<Listed>, now: Long) = fleet.listed(machines, now)
+
+    fun rented(request: String, machines: List<String>, now: Long) = fleet.rented(request, machines, now)
+
+    fun rentalRefused(request: String, now: Long) = fleet.rentalRefused(request, now)
+
+    fun rentalUnknown(request: String, now: Long) = fleet.rentalUnknown(request, now)
+
+    fun released(machines: List<String>, confirmed: Boolean, now: Long) = fleet.released(machines, confirmed, now)
+
+    fun tick(now: Long) {
+        fleet.watch(now)
+        if (now >= nextRoundAt) {
+            nextRoundAt = now + tuning.roundMs
+            // A controller that does not ask any more has lapsed; until it returns, its jobs are placed here.
+            val summary = queue.summary(now, MAX_ROWS) { it.owner == node || lapsed(it, now) }
+            if (summary.rows.isNotEmpty()) starts.accept(round.place(summary), now)
+        }
+        if (now >= nextPlanAt) {
+            nextPlanAt = now + tuning.capacityMs
+            fleet.plan(now)
+            preempt(now)
+        }
+        settle(now)
+    }
+
+    private fun lapsed(job: Job, now: Long) = now - heardFrom.getOrDefault(job.owner, Long.MIN_VALUE / 2) > tuning.lapseMs
+
+    /** One machine at a time is freed for the first task that nothing else can be done for. */
+    private fun preempt(now: Long) {
+        val row = fleet.unmet?.unmet?.firstOrNull { it.waitingMs >= tuning.preemptAfterMs } ?: return
+        if (state.liveMachines.any { m -> m.placements.values.any { it.stopping } }) return
+        val rooms = state.machines.filter { it.phase == MachinePhase.UP && it.type >= 0 }
+            .map { Room(it.index, state.room(it), it.type, it.zone, it.spot, it.images.keys.toIntArray()) }
+        if (rooms.any { row.allows(it) }) return
+        val running = state.machines.filter { it.phase == MachinePhase.UP }.flatMap { m ->
+            m.placements.values.filter { it.phase.reported }.map { p ->
+                val job = p.task.job
+                val saves = job.spec.checkpointS > 0
+                val lost = if (saves || job.spec.kind == JobKind.SERVICE) 0.0 else (now - p.since) / 1000.0
+                Running(p, m.index, job.team, job.spec.priority, job.guaranteed, job.spec.need, lost)
+            }
+        }.groupBy { it.machine }
+        Preemption.victims(row, rooms, running).forEach { it.of.task.yieldPlace() }
+    }
+
+    private companion object {
+        const val MAX_ROWS = 256
+        const val NEW_JOB_MS = 30L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -0,0 +1,106 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.capacity.Offer
+
+enum class Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, NO_ROOM, BUSY, UNKNOWN_JOB }
+
+sealed interface TaskState {
+    data object Fetching : TaskState
+
+    data object Gathering : TaskState
+
+    data object Running : TaskState
+
+    data object Saving : TaskState
+
+    data class Ended(val cause: Cause, val saved: Boolean) : TaskState
+}
+
+data class ReportedTask(val job: String, val number: Int, val attempt: Long, val state: TaskState) {
+    val task get() = "$job/$number"
+}
+
+data class Report(
+    val machine: String,
+    val address: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val session: Long,
+    val sequence: Long,
+    val token: Long,
+    val noticeS: Double?,
+    val tasks: List<ReportedTask>,
+)
+
+sealed interface Command {
+    val task: String
+    val attempt: Long
+
+    data class Start(override val task: String, override val attempt: Long) : Command
+
+    data class Stop(override val task: String, override val attempt: Long, val graceS: Double) : Command
+
+    data class Forget(override val task: String, override val attempt: Long) : Command
+}
+
+data class Listed(
+    val name: String,
+    val address: String?,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val booting: Boolean,
+    val failed: Boolean,
+    val heldS: Double,
+)
+
+/** One durable change; the client of the state service knows how it is written. */
+sealed interface Change {
+    data class MachineTasks(val record: MachineRecord) : Change
+
+    data class MachineGone(val machine: String) : Change
+
+    data class TasksDone(val job: String, val chunk: Int, val bits: ByteArray) : Change
+
+    /** Moves the record of the job at [version] to the final ones. */
+    data class JobOver(val job: String, val version: Long, val cancelled: Boolean) : Change
+}
+
+data class MachineRecord(
+    val name: String,
+    val address: String?,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val session: Long,
+    val tasks: List<RecordedTask>,
+)
+
+data class RecordedTask(val job: String, val number: Int, val attempt: Long)
+
+enum class CommitOutcome { APPLIED, REFUSED, UNKNOWN }
+
+/** What the core asks of the world; every answer comes back as an event. */
+sealed interface Effect {
+    data class Commit(val id: Long, val changes: List<Change>) : Effect
+
+    data class Send(
+        val id: Long,
+        val machine: String,
+        val address: String,
+        val token: Long,
+        val session: Long,
+        val commands: List<Command>,
+    ) : Effect
+
+    data class Rent(val request: String, val offer: Offer, val type: String, val zone: String, val count: Int) : Effect
+
+    data class Release(val machines: List<String>) : Effect
+
+    /** A user's cancellation is durable (or the job was done already). */
+    data class Cancelled(val job: String, val done: Boolean) : Effect
+
+    /** This node can no longer be sure to be the only holder. */
+    data class StepDown(val reason: String) : Effect
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -0,0 +1,111 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Machine
+import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Placement
+import org.honeyjunction.core.model.Task
+
+/** Takes in what workers say; the only evidence, beside releases and leases, of what is on a machine. */
+class Reports(private val state: ClusterState, private val lifecycle: Lifecycle) {
+    /** Returns false for a message that is older than what is known already. */
+    fun absorb(report: Report, now: Long): Boolean {
+        val machine = state.addMachine(report.machine, now)
+        state.describe(machine, report.address, report.type, report.zone, report.spot)
+        if (report.session < machine.session ||
+            report.session == machine.session && report.sequence <= machine.sequence
+        ) {
+            return false
+        }
+        val newSession = report.session > machine.session
+        machine.session = report.session
+        machine.sequence = report.sequence
+        // From its first word under this term on, nobody but this holder can renew the worker's lease.
+        if (machine.ackedToken < state.termToken && report.token >= state.termToken) machine.lastAnsweredAt = now
+        machine.ackedToken = maxOf(machine.ackedToken, report.token)
+        machine.lastHeardAt = now
+        if (machine.phase == MachinePhase.BOOTING || machine.phase == MachinePhase.LOST) machine.enter(MachinePhase.UP)
+        if (machine.placements.isEmpty() && machine.idleSince == Long.MIN_VALUE) machine.idleSince = now
+
+        val listed = report.tasks.associateBy { it.task }
+        for (placement in machine.placements.values.toList()) {
+            val said = listed[placement.task.id]
+            if (said?.attempt == placement.attempt) continue
+            if (provesGone(placement, report, newSession)) state.remove(placement, now)
+        }
+        report.tasks.forEach { takeIn(machine, it, now) }
+        if (report.noticeS != null) notice(machine, report.noticeS, now)
+        return true
+    }
+
+    private fun provesGone(placement: Placement, report: Report, newSession: Boolean): Boolean =
+        when (placement.phase) {
+            Phase.RESERVED, Phase.RECORDED -> false
+            // A held-back start can still be executed until the session or the token has moved on.
+            Phase.SENT -> newSession || report.token >= placement.voidAbove
+            // An earlier holder's commands are void only once the worker has seen this term's token.
+            Phase.UNHEARD -> report.token >= state.termToken
+            Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.SAVING -> true
+        }
+
+    private fun takeIn(machine: Machine, said: ReportedTask, now: Long) {
+        val job = state.job(said.job) ?: return
+        val task = job.tasks.getOrNull(said.number) ?: return
+        val known = machine.placements[said.task]
+        val phase = when (val s = said.state) {
+            is TaskState.Ended -> {
+                if (known != null && known.attempt != said.attempt) {
+                    if (s.cause == Cause.DONE && job.startable) lifecycle.taskDone(task)
+                } else {
+                    ended(known, task, s, machine, now)
+                }
+                return
+            }
+            TaskState.Fetching -> Phase.FETCHING
+            TaskState.Gathering -> Phase.GATHERING
+            TaskState.Running -> Phase.RUNNING
+            TaskState.Saving -> Phase.SAVING
+        }
+        if (known != null && known.attempt == said.attempt) {
+            known.enter(phase, now)
+            return
+        }
+        val elsewhere = task.placements.any { it.machine !== machine }
+        // A start of ours that was not sent yet gives way to what the machine really has.
+        val placement = state.place(task, machine, said.attempt, phase, now)
+        if (job.stage != JobStage.ACTIVE || task.done || elsewhere) placement.askToStop(0.0)
+    }
+
+    private fun ended(known: Placement?, task: Task, end: TaskState.Ended, machine: Machine, now: Long) {
+        val job = task.job
+        if (known != null) state.remove(known, now)
+        when (end.cause) {
+            Cause.DONE -> if (job.stage == JobStage.ACTIVE) lifecycle.taskDone(task)
+            Cause.ERROR -> if (known != null) lifecycle.failed(known, now)
+            Cause.NO_ROOM, Cause.BUSY, Cause.UNKNOWN_JOB -> if (known != null) job.notBefore = now + REFUSED_MS
+            Cause.STOPPED, Cause.PEERS, Cause.INCOMPLETE -> Unit
+        }
+        if (end.cause == Cause.DONE && known != null) {
+            state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
+        }
+    }
+
+    private fun notice(machine: Machine, noticeS: Double, now: Long) {
+        val first = machine.noticeUntil == null
+        machine.noticeUntil = now + (noticeS * 1000).toLong()
+        if (machine.phase == MachinePhase.UP) machine.enter(MachinePhase.DRAINING)
+        if (!first) return
+        for (placement in machine.placements.values.toList()) {
+            val spec = placement.task.job.spec
+            val cannotSave = spec.checkpointS <= 0 || spec.saveS + 1 > noticeS
+            // What can't save goes on and may still finish in time; what has not begun loses nothing by moving.
+            if (placement.phase == Phase.RUNNING && cannotSave) continue
+            placement.task.yieldPlace()
+        }
+    }
+
+    private companion object {
+        const val REFUSED_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -0,0 +1,213 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.model.Job
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.Machine
+import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Names
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Placement
+import org.honeyjunction.core.model.Task
+import org.honeyjunction.core.model.mayUse
+import org.honeyjunction.core.model.zonesFor
+import org.honeyjunction.core.placement.Proposal
+
+/** Takes proposed starts through check, durable record, message and answer. */
+class Starts(private val state: ClusterState) {
+    private class Message(val machine: Machine, val starts: List<Placement>)
+
+    private val sent = HashMap<Long, Message>()
+
+    /** Checks each proposal against all rules as things stand now; a gang is taken whole or not at all. */
+    fun accept(proposals: List<Proposal>, now: Long): List<Boolean> {
+        val accepted = BooleanArray(proposals.size)
+        val byJob = proposals.indices.groupBy { proposals[it].job }
+        for ((jobIndex, members) in byJob) {
+            val job = state.jobs.getOrNull(jobIndex) ?: continue
+            if (!job.startable || job.notBefore > now) continue
+            val gang = job.spec.kind == JobKind.GANG
+            if (gang && !wholeGang(job, members.map { proposals[it].task })) continue
+            val attempt = state.nextSequence()
+            val placed = ArrayList<Placement>()
+            for (i in members) {
+                val placement = reserve(job, proposals[i], if (gang) attempt else state.nextSequence(), now)
+                if (placement != null) {
+                    placed += placement
+                    accepted[i] = true
+                } else if (gang) {
+                    break
+                }
+            }
+            if (gang && placed.size < members.size) {
+                // One refusal stops the rest: nothing was sent yet, so the room is simply given back.
+                placed.forEach { state.remove(it, now) }
+                members.forEach { accepted[it] = false }
+            }
+        }
+        return accepted.asList()
+    }
+
+    private fun wholeGang(job: Job, tasks: List<Int>): Boolean {
+        val left = job.tasks.filter { !it.done }
+        return left.all { it.placements.isEmpty() } && tasks.toSet() == left.mapTo(HashSet()) { it.number }
+    }
+
+    private fun reserve(job: Job, proposal: Proposal, attempt: Long, now: Long): Placement? {
+        val task = job.tasks.getOrNull(proposal.task) ?: return null
+        val machine = state.machines.getOrNull(proposal.machine) ?: return null
+        if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
+        if (machine.placements.size >= state.cluster.recordTasks) return null
+        if (!mayRun(job, task, machine)) return null
+        if (!job.spec.need.fitsIn(state.room(machine))) return null
+        if (!state.cluster.teams[job.team].allows(state.usage(job.team) + job.spec.need)) return null
+        return state.place(task, machine, attempt, Phase.RESERVED, now)
+    }
+
+    private fun mayRun(job: Job, task: Task, machine: Machine): Boolean {
+        val type = state.cluster.types[machine.type] ?: return false
+        if (machine.zone == Names.ABSENT || machine.spot && !job.spec.spot || !job.spec.mayUse(type)) return false
+        return (state.zonesNow(job, task) and state.cluster.zonesFor(job.spec, type)) shr machine.zone and 1L != 0L
+    }
+
+    /** Writes what is reserved into the machines' durable records, and sends what is recorded. */
+    fun flush(now: Long) {
+        for (machine in state.machines) {
+            if (machine.phase == MachinePhase.GONE) continue
+            dropStale(machine, now)
+            record(machine, now)
+        }
+        for (machine in state.machines) if (machine.phase != MachinePhase.GONE) send(machine, now)
+    }
+
+    /** A reservation that could not be recorded in time, or is no longer wanted, gives its room back. */
+    private fun dropStale(machine: Machine, now: Long) {
+        for (p in machine.placements.values.toList()) {
+            if (p.phase != Phase.RESERVED && p.phase != Phase.RECORDED) continue
+            val late = now - p.since > RESERVE_MS
+            if (late || p.stopping || !p.task.job.startable || !machine.usable) {
+                val job = p.task.job
+                val concerned = if (job.spec.kind == JobKind.GANG) job.placements else listOf(p)
+                concerned.forEach { if (it.phase <= Phase.RECORDED) state.remove(it, now) else it.askToStop(0.0) }
+            }
+        }
+    }
+
+    private fun record(machine: Machine, now: Long) {
+        val reserved = machine.placements.values.filter { it.phase == Phase.RESERVED }
+        if (reserved.isEmpty()) return
+        if (machine.registered && reserved.all { it.task.id in machine.recorded }) {
+            reserved.forEach { it.enter(Phase.RECORDED, now) }
+            return
+        }
+        if (machine.recordBusy) return
+        machine.recordBusy = true
+        val tasks = machine.placements.values.map { RecordedTask(it.task.job.spec.id, it.task.number, it.attempt) }
+        val record = MachineRecord(
+            machine.name, machine.address, state.cluster.typeNames.name(machine.type),
+            state.cluster.zones.name(machine.zone), machine.spot, machine.session, tasks,
+        )
+        // While the write is on its way, either record may be the durable one: neither is enough for a start.
+        val before = machine.recorded
+        val named = tasks.mapTo(HashSet()) { "${it.job}/${it.number}" }
+        machine.recorded = before intersect named
+        state.commit(listOf(Change.MachineTasks(record))) { outcome ->
+            machine.recordBusy = false
+            if (outcome == CommitOutcome.APPLIED) {
+                machine.recorded = named
+                machine.registered = true
+                reserved.forEach { if (it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, it.since) }
+            }
+        }
+    }
+
+    private fun send(machine: Machine, now: Long) {
+        val address = machine.address ?: return
+        if (machine.commandBusy || now < machine.nextCommandAt) return
+        val commands = ArrayList<Command>()
+        val starts = ArrayList<Placement>()
+        for (p in machine.placements.values) {
+            if (p.phase == Phase.RECORDED && now < state.leaseValidUntil && machine.usable && ready(p)) {
+                starts += p
+                commands += Command.Start(p.task.id, p.attempt)
+            } else if (p.stopping && p.phase > Phase.RECORDED && now - p.stopSentAt >= STOP_AGAIN_MS) {
+                if (p.phase == Phase.SAVING && p.stopGraceS > 0) continue
+                p.stopSentAt = now
+                commands += Command.Stop(p.task.id, p.attempt, p.stopGraceS)
+            }
+        }
+        val unfenced = machine.ackedToken < state.termToken && machine.session > 0
+        if (commands.isEmpty() && !unfenced) return
+        val id = state.nextSequence()
+        machine.commandBusy = true
+        for (p in starts) {
+            p.enter(Phase.SENT, now)
+            // Until an answer or an acknowledged higher token, the start may still be executed.
+            p.voidAbove = machine.token + 1
+        }
+        sent[id] = Message(machine, starts)
+        state.effects += Effect.Send(id, machine.name, address, machine.token, machine.session, commands)
+    }
+
+    private fun ready(p: Placement): Boolean {
+        val job = p.task.job
+        if (!job.startable) return false
+        // The tasks of a gang are sent off together, once all of them are recorded.
+        return job.spec.kind != JobKind.GANG || job.placements.all { it.phase >= Phase.RECORDED }
+    }
+
+    fun executed(id: Long, report: Report, absorb: (Report) -> Unit) {
+        val message = take(id) ?: return
+        message.machine.commandFailures = 0
+        message.starts.forEach { it.voidAbove = 0 }
+        absorb(report)
+    }
+
+    /** Token or session did not match: nothing of the message was or will be executed. */
+    fun rejected(id: Long, report: Report, now: Long, absorb: (Report) -> Unit) {
+        val message = take(id) ?: return
+        message.starts.forEach { if (it.phase == Phase.SENT) state.remove(it, now) }
+        message.machine.nextCommandAt = now + RETRY_MS
+        absorb(report)
+    }
+
+    /** No answer: the message may be executed minutes late, so it is voided by raising the machine's token. */
+    fun unanswered(id: Long, now: Long) {
+        val message = take(id) ?: return
+        val machine = message.machine
+        machine.commandFailures++
+        machine.nextCommandAt = now + RETRY_MS * minOf(machine.commandFailures, 8)
+        if (message.starts.isNotEmpty()) machine.token++
+    }
+
+    private fun take(id: Long): Message? {
+        val message = sent.remove(id) ?: return null
+        message.machine.commandBusy = false
+        return message
+    }
+
+    private companion object {
+        const val RESERVE_MS = 4_000L
+        const val STOP_AGAIN_MS = 1_500L
+        const val RETRY_MS = 500L
+    }
+}
+
+/** The zones, as a bit mask, that the job's other tasks leave open for [task] at this moment. */
+fun ClusterState.zonesNow(job: Job, task: Task?): Long {
+    val others = job.placements.filter { it.task !== task }
+    if (job.spec.oneZone && others.isNotEmpty()) {
+        // Leaving tasks keep their zone until they are gone.
+        return others.map { 1L shl it.machine.zone }.reduce { a, b -> a and b }
+    }
+    if (!job.spec.spread) return -1L
+    val room = spreadRoom(job, others)
+    return room.indices.fold(0L) { mask, z -> if (room[z] > 0) mask or (1L shl z) else mask }
+}
+
+/** How many more tasks of a spread job each zone may take: half of the tasks, rounded up, less what is there. */
+fun ClusterState.spreadRoom(job: Job, placements: List<Placement> = job.placements): List<Int> {
+    val most = (job.spec.tasks + 1) / 2
+    val room = IntArray(cluster.zones.size) { most }
+    placements.forEach { if (it.machine.zone >= 0) room[it.machine.zone]-- }
+    return room.asList()
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Tuning.kt
@@ -0,0 +1,19 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.placement.CostSettings
+
+/** The operators' settings of scheduling; the defaults are explained in docs/design.md. */
+data class Tuning(
+    val roundMs: Long = 500,
+    val summaryMs: Long = 500,
+    val capacityMs: Long = 1_000,
+    val idleMs: Long = 45_000,
+    val spareFactor: Double = 1.0,
+    val forecastMs: Long = 150_000,
+    val preemptAfterMs: Long = 4_000,
+    val refusalMs: Long = 8_000,
+    val lapseMs: Long = 3_000,
+    val leaseMs: Long = 5_000,
+    val maxTasks: Int = 200_000,
+    val cost: CostSettings = CostSettings(),
+)
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -0,0 +1,132 @@
+package org.honeyjunction.core.model
+
+enum class JobKind { ARRAY, GANG, SERVICE }
+
+enum class Priority { LOW, NORMAL, HIGH, PRODUCTION }
+
+/** Queued and running are told apart by the placements; only these three are kept. */
+enum class JobStage { ACTIVE, DONE, CANCELLED }
+
+data class JobSpec(
+    val id: String,
+    val jobClass: String,
+    val team: String,
+    val kind: JobKind,
+    val priority: Priority,
+    val tasks: Int,
+    val need: Resources,
+    val image: String,
+    val imageGb: Double,
+    val types: List<String>?,
+    val zone: String?,
+    val oneZone: Boolean,
+    val spread: Boolean,
+    val spot: Boolean,
+    val estimateS: Double,
+    val checkpointS: Double,
+    val saveS: Double,
+    val deadlineS: Double?,
+)
+
+enum class Verdict { FITS, NEVER, UNKNOWN_YET }
+
+/** Whether the cluster could ever run [spec]. Nothing can be said while the machine types are unknown. */
+fun Cluster.judge(spec: JobSpec): Verdict {
+    val team = team(spec.team)
+    if (team == Names.ABSENT) return Verdict.NEVER
+    val most = if (spec.kind == JobKind.ARRAY) spec.need else spec.need * spec.tasks
+    if (!teams[team].allows(most)) return Verdict.NEVER
+    if (types.isEmpty()) return Verdict.UNKNOWN_YET
+    return if (types.values.any { spec.mayUse(it) && zonesFor(spec, it) != 0L }) Verdict.FITS else Verdict.NEVER
+}
+
+fun JobSpec.mayUse(type: MachineType): Boolean = (types == null || type.name in types) && need.fitsIn(type.size)
+
+/** The zones, as a bit mask, in which [type] is offered and [spec] may run. */
+fun Cluster.zonesFor(spec: JobSpec, type: MachineType): Long =
+    type.zones.filter { spec.zone == null || zones.name(it) == spec.zone }.fold(0L) { mask, z -> mask or (1L shl z) }
+
+/** A job as the term holder sees it. [version] is the revision of its durable record. */
+class Job(val index: Int, val spec: JobSpec, val team: Int, val image: Int, val owner: String, val createdAt: Long) {
+    var stage = JobStage.ACTIVE
+        private set
+    var version = 0L
+    val tasks = Array(spec.tasks) { Task(this, it) }
+    var doneCount = 0
+    var notBefore = 0L
+
+    /** Machines on which a task of the job failed. */
+    val errorMachines = HashSet<Int>()
+
+    /** The final record is being written; nothing of the job may be started any more. */
+    var closing = false
+    var cancelRequested = false
+
+    /** Whether it fits into its team's guarantee together with the team's earlier jobs; computed anew every round. */
+    var guaranteed = false
+
+    /** The only way a job's stage changes; a final stage never changes again. */
+    fun enter(next: JobStage) {
+        check(stage == JobStage.ACTIVE || stage == next) { "${spec.id}: $stage -> $next" }
+        stage = next
+    }
+
+    val placements: List<Placement> get() = tasks.flatMap { it.placements }
+
+    val startable get() = stage == JobStage.ACTIVE && !closing
+}
+
+class Task(val job: Job, val number: Int) {
+    /** Every machine on which the task is or might be. Empty is the only state from which it may be started. */
+    val placements = ArrayList<Placement>(1)
+
+    /** The worker said so. */
+    var done = false
+
+    /** The state service has it. Only then is the attempt reaped. */
+    var doneDurable = false
+    var waitingSince = job.createdAt
+
+    val id get() = "${job.spec.id}/$number"
+}
+
+enum class Phase {
+    /** Room is taken; the durable record is being written; nothing was sent. */
+    RESERVED,
+
+    /** The machine's durable record names it; the start may be sent. */
+    RECORDED,
+
+    /** A start was sent and its outcome is not known. */
+    SENT,
+
+    /** An earlier term's record names it, and the machine has not been heard under this term. */
+    UNHEARD,
+    FETCHING,
+    GATHERING,
+    RUNNING,
+    SAVING,
+    ;
+
+    val reported get() = this >= FETCHING
+}
+
+class Placement(val task: Task, val machine: Machine, val attempt: Long, phase: Phase, now: Long) {
+    var phase = phase
+        private set
+    var since = now
+        private set
+
+    /** For SENT: the lowest token whose acknowledgement shows that the start can no longer be executed. */
+    var voidAbove = Long.MAX_VALUE
+    var stopGraceS = 0.0
+    var stopping = false
+    var stopSentAt = 0L
+
+    /** The only way a phase changes. A reported phase never falls back to an unreported one. */
+    fun enter(next: Phase, now: Long) {
+        check(next > phase || next.reported) { "${task.id}: $phase -> $next" }
+        if (phase != next) since = now
+        phase = next
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -0,0 +1,85 @@
+package org.honeyjunction.core.model
+
+enum class MachinePhase {
+    /** Rented or listed; its worker has not been heard under this term. */
+    BOOTING,
+    UP,
+
+    /** Takes no new tasks: spot notice, faulty, or to be returned. */
+    DRAINING,
+
+    /** Silent past its lease. */
+    LOST,
+
+    /** A release was sent; it may be executed at any time, so the machine is never used again. */
+    RELEASING,
+    GONE,
+}
+
+class Machine(val index: Int, val name: String) {
+    var phase = MachinePhase.BOOTING
+        private set
+    var address: String? = null
+    var type = Names.ABSENT
+    var zone = Names.ABSENT
+    var spot = false
+    var session = 0L
+    var sequence = 0L
+
+    /** The token that commands to this machine carry, and the highest it was seen to know. */
+    var token = 0L
+    var ackedToken = -1L
+    var lastHeardAt = Long.MIN_VALUE / 2
+    var lastAnsweredAt = Long.MIN_VALUE / 2
+
+    /** When this machine was last taken to have outlived its lease. */
+    var expiredAt = Long.MIN_VALUE / 2
+    var knownSince = 0L
+    var idleSince = Long.MIN_VALUE
+    var noticeUntil: Long? = null
+
+    /** The durable record: its tasks are a superset of what may be on the machine. */
+    var recorded: Set<String> = emptySet()
+    var registered = false
+    var recordBusy = false
+    var releaseDueAt = 0L
+    var listedSince: Long? = null
+
+    /** One command message at a time, so that their order is the order in which they were decided. */
+    var commandBusy = false
+    var commandFailures = 0
+    var nextCommandAt = 0L
+    val placements = LinkedHashMap<String, Placement>()
+
+    /** Images believed to be cached, least recently used first. */
+    val images = LinkedHashMap<Int, Double>(16, 0.75f, true)
+
+    val usable get() = phase == MachinePhase.UP
+
+    /** The only way a machine's phase changes. A release is never taken back. */
+    fun enter(next: MachinePhase) {
+        check(phase < MachinePhase.RELEASING || next >= phase) { "$name: $phase -> $next" }
+        phase = next
+    }
+
+    fun used(): Resources = placements.values.fold(Resources.NONE) { sum, p -> sum + p.task.job.spec.need }
+
+    /** Notes that [image] is (being) cached and drops what the cache cannot hold any more. */
+    fun noteImage(image: Int, gb: Double, cacheGb: Double) {
+        images[image] = gb
+        images[image]
+        val needed = placements.values.mapTo(HashSet()) { it.task.job.image } + image
+        val old = images.keys.iterator()
+        var total = images.values.sum()
+        val dropped = ArrayList<Int>()
+        while (total > cacheGb && old.hasNext()) {
+            val candidate = old.next()
+            if (candidate in needed) continue
+            dropped.add(candidate)
+        }
+        for (candidate in dropped) {
+            if (total <= cacheGb) break
+            total -= images.remove(candidate) ?: 0.0
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -0,0 +1,83 @@
+package org.honeyjunction.core.placement
+
+import org.honeyjunction.core.model.Priority
+import kotlin.math.max
+import kotlin.math.min
+
+/** A free slot: a column of the matrix. */
+class Slot(val room: Room, val place: Int)
+
+/** FC + DLC, as the paper's formulas (4) to (9) have it; see docs/design.md for what is added and why. */
+class CostMatrix(private val summary: Summary, private val settings: CostSettings) {
+    private val weights = weights(summary.teams)
+    private val running = summary.teams.sumOf { it.running }
+
+    /** Formula (6), from (5). */
+    fun groupCost(team: Int): Double {
+        if (running == 0) return 0.0
+        return summary.teams[team].running.toDouble() / running / weights[team] * 100
+    }
+
+    /** Formula (9), capped by the waiting tasks. */
+    fun slotsToOccupy(team: Int, waiting: Int): Int =
+        min(max(0.0, summary.slots * weights[team] - summary.teams[team].running), waiting.toDouble()).toInt()
+
+    /** As many slots per machine as the smallest task that may use it fits in, each of them a column. */
+    fun slots(rows: List<Row>): List<Slot> {
+        val all = summary.rooms.flatMap { room ->
+            val fits = rows.asSequence().filter { it.allows(room) }.maxOfOrNull { it.need.countIn(room.free) } ?: 0
+            List(min(fits, rows.size)) { Slot(room, it) }
+        }
+        // First the first slot of every machine, so that the bound leaves no machine out.
+        return if (all.size <= settings.maxColumns) all else all.sortedBy { it.place }.take(settings.maxColumns)
+    }
+
+    /** The rows in the order of priority, guarantee, group cost and age. */
+    fun order(rows: List<Row>): List<Row> {
+        val costs = summary.teams.indices.map(::groupCost)
+        return rows.sortedWith(
+            compareByDescending<Row> { it.priority }.thenByDescending { it.guaranteed }
+                .thenBy { costs[it.team] }.thenByDescending { it.waitingMs },
+        )
+    }
+
+    /** Up to sto tasks of a team cost its GFC, those that can be local first; the others cost beta (1 - w). */
+    fun fairness(rows: List<Row>, slots: List<Slot>): DoubleArray {
+        val cached = slots.flatMapTo(HashSet()) { it.room.images.asList() }
+        val result = DoubleArray(rows.size)
+        rows.indices.groupBy { rows[it].team }.forEach { (team, members) ->
+            val (local, remote) = members.partition { rows[it].image in cached }
+            val within = slotsToOccupy(team, members.size)
+            (local + remote).forEachIndexed { position, row ->
+                result[row] = if (position < within) groupCost(team) else settings.beta * (1 - weights[team])
+            }
+        }
+        // Extensions: priority outweighs both costs; waiting lowers the cost, as the paper suggests against starvation.
+        rows.forEachIndexed { i, row ->
+            val level = (Priority.PRODUCTION.ordinal - row.priority.ordinal) * 2 + if (row.guaranteed) 0 else 1
+            result[i] += settings.priorityStep * level - min(settings.beta, settings.agingPerS * row.waitingMs / 1000)
+        }
+        return result
+    }
+
+    fun cost(row: Row, slot: Slot, fairness: Double): Double {
+        if (!row.allows(slot.room)) return BARRED
+        val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * row.imageGb
+        val kind = if (row.spot && !slot.room.spot) settings.spotPreference else 0.0
+        // A tie is broken towards the fuller machine, which leaves whole machines free.
+        val packing = settings.packing * (slot.room.free.gpus - row.need.gpus)
+        return fairness + locality + kind + packing
+    }
+
+    companion object {
+        const val BARRED = 1e9
+
+        /** Guarantees normalised to a sum of 1, floored at 0.01. */
+        fun weights(teams: List<TeamShare>): DoubleArray {
+            val sum = teams.sumOf { it.weight }
+            return DoubleArray(teams.size) { i ->
+                max(0.01, if (sum > 0) teams[i].weight / sum else 1.0 / teams.size)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -0,0 +1,84 @@
+package org.honeyjunction.core.placement
+
+import org.honeyjunction.core.model.Resources
+
+/** One round of lsap-fair-sched: a pure function from a summary to proposed starts. */
+class Round(private val settings: CostSettings = CostSettings()) {
+    fun place(summary: Summary): List<Proposal> {
+        var rooms = summary.rooms
+        var waiting = summary.rows
+        val chosen = ArrayList<Proposal>()
+        // Slots are cut for the smallest task, so a larger neighbour can leave one too small: go on with what is left.
+        repeat(MAX_PASSES) {
+            val current = Summary(rooms, summary.teams, summary.slots, waiting)
+            val taken = pass(current)
+            if (taken.isEmpty()) return chosen
+            chosen += taken
+            val byTask = waiting.associateBy { it.job to it.task }
+            val used = taken.groupBy { it.machine }
+            val started = taken.mapTo(HashSet()) { it.job to it.task }
+            rooms = rooms.map { room ->
+                val here = used[room.machine] ?: return@map room
+                val rows = here.map { byTask.getValue(it.job to it.task) }
+                val free = rows.fold(room.free) { free, row -> free - row.need }
+                Room(room.machine, free, room.type, room.zone, room.spot, room.images + rows.map { it.image })
+            }
+            // A job bound to one zone or spread over zones goes on in the next round, with its zones counted anew.
+            val bound = taken.mapTo(HashSet()) { it.job }
+            waiting = waiting.filter { row ->
+                (row.job to row.task) !in started && !(row.job in bound && (row.oneZone || row.zoneRoom != null))
+            }
+            if (waiting.isEmpty()) return chosen
+        }
+        return chosen
+    }
+
+    private fun pass(summary: Summary): List<Proposal> {
+        val matrix = CostMatrix(summary, settings)
+        val ordered = matrix.order(summary.rows)
+        val slots = matrix.slots(ordered)
+        if (slots.isEmpty()) return emptyList()
+        val rows = chooseZones(ordered, summary.rooms).take(2 * slots.size)
+        val fairness = matrix.fairness(rows, slots)
+        val cost = Array(rows.size) { r -> DoubleArray(slots.size) { c -> matrix.cost(rows[r], slots[c], fairness[r]) } }
+        val assigned = Hungarian.solve(cost)
+        return admit(rows.indices.filter { assigned[it] >= 0 && cost[it][assigned[it]] < CostMatrix.BARRED / 2 }
+            .map { rows[it] to slots[assigned[it]].room })
+    }
+
+    /** Binds each job that must stay in one zone to the zone where most of its tasks find room. */
+    private fun chooseZones(rows: List<Row>, rooms: List<Room>): List<Row> {
+        val zoneOf = rows.filter { it.oneZone }.groupBy { it.job }.mapValues { (_, tasks) ->
+            val sample = tasks.first()
+            rooms.filter { sample.allows(it) }.groupBy { it.zone }
+                .mapValues { (_, here) -> here.sumOf { sample.need.countIn(it.free).coerceAtMost(tasks.size) } }
+                .maxByOrNull { it.value }?.key
+        }
+        return rows.filter { !it.oneZone || zoneOf[it.job] != null }
+            .map { row -> zoneOf[row.job]?.let { row.copy(zones = 1L shl it) } ?: row }
+    }
+
+    /** Drops what no longer fits beside its neighbours, exceeds a zone's part, or leaves a gang incomplete. */
+    private fun admit(pairs: List<Pair<Row, Room>>): List<Proposal> {
+        val free = HashMap<Int, Resources>()
+        val zoneUse = HashMap<Pair<Int, Int>, Int>()
+        val fitting = pairs.filter { (row, room) ->
+            val left = free.getOrDefault(room.machine, room.free)
+            val inZone = zoneUse.getOrDefault(row.job to room.zone, 0)
+            val bound = row.zoneRoom
+            val ok = row.need.fitsIn(left) && (bound == null || inZone < bound[room.zone])
+            if (ok) {
+                free[room.machine] = left - row.need
+                zoneUse[row.job to room.zone] = inZone + 1
+            }
+            ok
+        }
+        val gangs = fitting.filter { it.first.gangOf > 0 }.groupingBy { it.first.job }.eachCount()
+        return fitting.filter { (row, _) -> row.gangOf == 0 || gangs[row.job] == row.gangOf }
+            .map { (row, room) -> Proposal(row.job, row.task, room.machine) }
+    }
+
+    private companion object {
+        const val MAX_PASSES = 6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -0,0 +1,50 @@
+package org.honeyjunction.core.placement
+
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+
+/** What a round needs to know of one machine. */
+class Room(val machine: Int, val free: Resources, val type: Int, val zone: Int, val spot: Boolean, val images: IntArray)
+
+/** A team's weight, its running tasks, and how many of all the tasks run. */
+class TeamShare(val weight: Double, val running: Int)
+
+/** A waiting task: a row of the matrix; [gangOf] tasks start together or not at all (0: alone). [zones] and [types] are bit masks of what is allowed at this moment. */
+data class Row(
+    val job: Int,
+    val task: Int,
+    val team: Int,
+    val priority: Priority,
+    val waitingMs: Long,
+    val need: Resources,
+    val image: Int,
+    val imageGb: Double,
+    val zones: Long,
+    val types: Long,
+    val spot: Boolean,
+    val oneZone: Boolean,
+    val gangOf: Int,
+    val guaranteed: Boolean,
+    /** How many more of the job's tasks each zone may take; null where nothing bounds them. */
+    val zoneRoom: List<Int>? = null,
+) {
+    fun allows(room: Room): Boolean =
+        (zones shr room.zone) and 1L != 0L && (types shr room.type) and 1L != 0L &&
+            (spot || !room.spot) && need.fitsIn(room.free)
+}
+
+/** The holder's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
+class Summary(val rooms: List<Room>, val teams: List<TeamShare>, val slots: Int, val rows: List<Row>)
+
+data class Proposal(val job: Int, val task: Int, val machine: Int)
+
+/** What is open in the design: the weights of the costs, and the bounds of a round. */
+data class CostSettings(
+    val alpha: Double = 1.0,
+    val beta: Double = 100.0,
+    val priorityStep: Double = 20_000.0,
+    val spotPreference: Double = 0.5,
+    val packing: Double = 0.05,
+    val agingPerS: Double = 0.05,
+    val maxColumns: Int = 64,
+)
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
@@ -0,0 +1,88 @@
+package org.honeyjunction.io
+
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+import org.honeyjunction.wire.HttpLimits
+import org.honeyjunction.wire.HttpMessage
+import org.honeyjunction.wire.HttpParser
+import org.honeyjunction.wire.HttpWriter
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousSocketChannel
+
+/** No answer: the request may have been executed, or may yet be. */
+class NoAnswerException(message: String, cause: Throwable? = null) : IOException(message, cause)
+
+/** Sends requests to one address over connections that it keeps for the next ones. */
+class HttpClient(private val loop: Loop, private val address: String, private val keep: Int = 4, bodyLimit: Int = 4 * 1024 * 1024) {
+    private val limits = HttpLimits(body = bodyLimit)
+    private val target = socketAddress(address)
+    private val idle = ArrayDeque<AsynchronousSocketChannel>()
+
+    suspend fun send(method: String, path: String, body: ByteArray = Response.NO_BODY, timeoutMs: Long): Response =
+        try {
+            withTimeout(timeoutMs) { exchange(Request(method, path, body)) }
+        } catch (e: TimeoutCancellationException) {
+            throw NoAnswerException("no answer from $address within $timeoutMs ms", e)
+        } catch (e: NoAnswerException) {
+            throw e
+        } catch (e: IOException) {
+            throw NoAnswerException("no answer from $address: ${e.message}", e)
+        }
+
+    private suspend fun exchange(request: Request): Response {
+        val kept = idle.removeLastOrNull()
+        val channel = kept ?: connect()
+        var done = false
+        try {
+            channel.awaitWrite(HttpWriter.request(address, request))
+            val message = read(channel)
+            val status = message.start[1].toIntOrNull() ?: throw IOException("bad status")
+            done = !message.closes && idle.size < keep
+            if (done) idle.addLast(channel)
+            return Response(status, message.body, message.headers["retry-after"]?.toIntOrNull())
+        } finally {
+            if (!done) quietly { channel.close() }
+        }
+    }
+
+    private suspend fun connect(): AsynchronousSocketChannel {
+        val channel = AsynchronousSocketChannel.open(loop.group)
+        var connected = false
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            channel.awaitConnect(target)
+            connected = true
+            return channel
+        } finally {
+            if (!connected) quietly { channel.close() }
+        }
+    }
+
+    private suspend fun read(channel: AsynchronousSocketChannel): HttpMessage {
+        val parser = HttpParser(HttpParser.Kind.RESPONSE, limits)
+        val buffer = ByteBuffer.allocate(BUFFER)
+        while (true) {
+            buffer.clear()
+            val count = channel.awaitRead(buffer)
+            buffer.flip()
+            when (val outcome = if (count < 0) parser.end() else parser.feed(buffer)) {
+                is HttpParser.Done -> return outcome.message
+                is HttpParser.Failed -> throw IOException(outcome.reason)
+                is HttpParser.More -> Unit
+            }
+        }
+    }
+
+    /** Drops what is kept, so that the next request finds out anew whether the address answers. */
+    fun forgetConnections() {
+        while (true) quietly { (idle.removeLastOrNull() ?: return).close() }
+    }
+
+    private companion object {
+        const val BUFFER = 8192
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -0,0 +1,123 @@
+package org.honeyjunction.io
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.TimeoutCancellationException
+import org.honeyjunction.wire.HttpLimits
+import org.honeyjunction.wire.HttpParser
+import org.honeyjunction.wire.HttpWriter
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.nio.channels.AsynchronousSocketChannel
+
+/** Serves HTTP/1.1 without pipelining, each connection by a coroutine of its own. */
+class HttpServer(
+    private val loop: Loop,
+    private val maxConnections: Int,
+    private val handle: suspend (Request) -> Response,
+) {
+    private val log = LoggerFactory.getLogger(HttpServer::class.java)
+    private var open = 0
+
+    fun listen(address: InetSocketAddress): AsynchronousServerSocketChannel {
+        val server = AsynchronousServerSocketChannel.open(loop.group)
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        server.bind(address, BACKLOG)
+        loop.scope.launch { acceptAll(server, this) }
+        return server
+    }
+
+    private suspend fun acceptAll(server: AsynchronousServerSocketChannel, scope: CoroutineScope) {
+        while (server.isOpen) {
+            val channel = try {
+                server.awaitAccept()
+            } catch (e: IOException) {
+                // Out of sockets, most likely: the listener itself is still good.
+                log.debug("accept failed: {}", e.message)
+                delay(ACCEPT_RETRY_MS)
+                continue
+            }
+            if (open >= maxConnections) {
+                quietly { channel.close() }
+                continue
+            }
+            open++
+            scope.launch {
+                try {
+                    channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                    serve(channel)
+                } catch (_: IOException) {
+                    // The other side went away.
+                } catch (_: TimeoutCancellationException) {
+                    // Idle for too long.
+                } finally {
+                    open--
+                    quietly { channel.close() }
+                }
+            }
+        }
+    }
+
+    private suspend fun serve(channel: AsynchronousSocketChannel) {
+        val parser = HttpParser(HttpParser.Kind.REQUEST, HttpLimits())
+        val buffer = ByteBuffer.allocate(BUFFER)
+        buffer.flip()
+        while (true) {
+            var outcome = parser.feed(buffer)
+            val deadline = Clock.steady() + MESSAGE_MS
+            while (outcome is HttpParser.More) {
+                buffer.clear()
+                val patience = if (parser.midway) deadline - Clock.steady() else IDLE_MS
+                val count = try {
+                    withTimeout(maxOf(patience, 1)) { channel.awaitRead(buffer) }
+                } catch (e: TimeoutCancellationException) {
+                    throw IOException("too slow", e)
+                }
+                if (count < 0) return
+                buffer.flip()
+                outcome = parser.feed(buffer)
+            }
+            when (outcome) {
+                is HttpParser.Done -> {
+                    val message = outcome.message
+                    val response = answer(Request(message.start[0], message.start[1], message.body))
+                    write(channel, if (message.closes) Response(response.status, response.body, response.retryAfterS, true) else response)
+                    if (message.closes || response.close) return
+                }
+                is HttpParser.Failed -> {
+                    write(channel, Response(outcome.status, close = true))
+                    return
+                }
+                is HttpParser.More -> Unit
+            }
+        }
+    }
+
+    private suspend fun write(channel: AsynchronousSocketChannel, response: Response) =
+        withTimeout(MESSAGE_MS) { channel.awaitWrite(HttpWriter.response(response)) }
+
+    private suspend fun answer(request: Request): Response =
+        try {
+            handle(request)
+        } catch (e: IllegalStateException) {
+            // A broken invariant costs this one request, not the process.
+            log.error("{} {} failed", request.method, request.path, e)
+            Response(500)
+        }
+
+    private companion object {
+        const val BACKLOG = 512
+        const val BUFFER = 4096
+        const val MESSAGE_MS = 8_000L
+        const val IDLE_MS = 120_000L
+        const val ACCEPT_RETRY_MS = 50L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -0,0 +1,187 @@
+package org.honeyjunction.io
+
+import com.fasterxml.jackson.databind.JsonNode
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.wire.Condition
+import org.honeyjunction.wire.Entry
+import org.honeyjunction.wire.EntryPage
+import org.honeyjunction.wire.KeyChange
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.Response
+import org.honeyjunction.wire.StateCodec
+import org.honeyjunction.wire.Write
+import java.io.IOException
+
+class StateLimits(val requestsPerS: Double, val writesPerS: Double, val transactionWrites: Int, val nodes: Int)
+
+/** The state service refused or did not answer; nothing can be said about what was asked. */
+class StateUnavailableException(message: String) : IOException(message)
+
+/** The client of the state service: keeps to its limits, and joins writes that wait at the same time. */
+class StateClient(private val loop: Loop, address: String, private val limits: StateLimits, clock: Clock) {
+    private class Pending(val conditions: List<Condition>, val writes: List<Write>, val result: CompletableDeferred<CommitOutcome>)
+
+    private val http = HttpClient(loop, address, keep = 6, bodyLimit = 16 * 1024 * 1024)
+    private val requests = Budget(limits.requestsPerS * SHARE, limits.requestsPerS * SHARE, clock)
+    private val writes = Budget(limits.writesPerS * SHARE, limits.writesPerS * SHARE, clock)
+    private val pending = Channel<Pending>(MAX_PENDING)
+    private var queued = 0
+
+    init {
+        loop.scope.launch { writeAll() }
+    }
+
+    val congested: Boolean get() = queued > limits.writesPerS * CONGESTED_S
+
+    suspend fun get(key: String): Entry {
+        val r = ask("GET", "/store/$key")
+        return when (r.status) {
+            200 -> parse { StateCodec.entry(r.body) }
+            404 -> Entry(key, null, 0, null)
+            else -> throw StateUnavailableException("state service: ${r.status}")
+        }
+    }
+
+    /** All entries under [prefix], with the revision of the first page, from which changes can be followed. */
+    suspend fun scan(prefix: String): Pair<List<Entry>, Long> {
+        val all = ArrayList<Entry>()
+        var first: EntryPage? = null
+        while (true) {
+            val after = all.lastOrNull()?.let { "&Since=${it.key}" }.orEmpty()
+            val page = parse { StateCodec.page(ok(ask("GET", "/store?Starts=$prefix$after&Most=$PAGE")).body) }
+            if (first == null) first = page
+            all += page.entries
+            if (!page.more || page.entries.isEmpty()) return all to first.revision
+        }
+    }
+
+    /** Null when [since] is too old to be followed. */
+    suspend fun changes(prefix: String, since: Long, waitMs: Long): Pair<Long, List<KeyChange>>? {
+        val r = ask("GET", "/changes?Starts=$prefix&Since=$since&BlockMs=$waitMs", timeoutMs = waitMs + WATCH_SLACK_MS)
+        if (r.status == 410) return null
+        return parse { StateCodec.changes(ok(r).body) }
+    }
+
+    suspend fun grantLease(ms: Long): Long = parse { StateCodec.leaseId(ok(ask("POST", "/leases", StateCodec.lease(ms), urgent = true)).body) }
+
+    /** Whether the lease goes on; false when it has ended. */
+    suspend fun extendLease(id: Long): Boolean {
+        val r = ask("POST", "/leases/$id/extend", urgent = true, timeoutMs = EXTEND_MS)
+        return if (r.status == 404) false else ok(r).status == 200
+    }
+
+    suspend fun endLease(id: Long) {
+        ask("DELETE", "/leases/$id", urgent = true)
+    }
+
+    /** A transaction of its own, before all that wait. Null when a condition failed. */
+    suspend fun commitNow(conditions: List<Condition>, writes: List<Write>): Long? {
+        this.writes.take(writes.size, urgent = true)
+        val r = ask("POST", "/commit", StateCodec.commit(conditions, writes), urgent = true)
+        return if (r.status == 409) null else parse { StateCodec.revision(ok(r).body) }
+    }
+
+    /** Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. */
+    suspend fun commit(conditions: List<Condition>, writes: List<Write>): CommitOutcome {
+        val p = Pending(conditions, writes, CompletableDeferred())
+        if (pending.trySend(p).isFailure) return CommitOutcome.UNKNOWN
+        queued += writes.size
+        return p.result.await()
+    }
+
+    private suspend fun writeAll() {
+        var carried: Pending? = null
+        while (true) {
+            val batch = arrayListOf(carried ?: pending.receive())
+            carried = null
+            val keys = batch[0].writes.mapTo(HashSet()) { it.key }
+            while (true) {
+                val next = pending.tryReceive().getOrNull() ?: break
+                val fits = batch.sumOf { it.writes.size } + next.writes.size <= limits.transactionWrites &&
+                    batch.size < MAX_BATCH && next.writes.none { it.key in keys }
+                if (!fits) {
+                    carried = next
+                    break
+                }
+                batch += next
+                next.writes.mapTo(keys) { it.key }
+            }
+            // Several transactions may be on their way at once; a key in two of them is guarded by its conditions.
+            val count = batch.sumOf { it.writes.size }
+            writes.take(count)
+            loop.scope.launch { write(batch) }
+        }
+    }
+
+    private suspend fun write(batch: List<Pending>) {
+        var left = batch
+        try {
+            while (left.isNotEmpty()) {
+                val conditions = left.flatMap { it.conditions }.associateBy { it.key }.values
+                val r = ask("POST", "/commit", StateCodec.commit(conditions, left.flatMap { it.writes }))
+                if (r.status != 409) {
+                    ok(r)
+                    left.forEach { finish(it, CommitOutcome.APPLIED) }
+                    return
+                }
+                // One failed condition fails the whole transaction: leave out those it belongs to and go on.
+                val failed = parse { StateCodec.failed(r.body) }.toSet()
+                val (out, rest) = left.partition { p -> failed.isEmpty() || p.conditions.any { it.key in failed } }
+                out.forEach { finish(it, CommitOutcome.REFUSED) }
+                left = rest
+                if (rest.isNotEmpty()) writes.take(rest.sumOf { it.writes.size })
+            }
+        } catch (_: IOException) {
+            left.forEach { finish(it, CommitOutcome.UNKNOWN) }
+        }
+    }
+
+    private fun finish(p: Pending, outcome: CommitOutcome) {
+        queued -= p.writes.size
+        p.result.complete(outcome)
+    }
+
+    private fun ok(r: Response): Response =
+        if (r.status == 200) r else throw StateUnavailableException("state service: ${r.status}")
+
+    private inline fun <T> parse(read: () -> T): T =
+        try {
+            read()
+        } catch (e: MalformedException) {
+            throw StateUnavailableException("state service: ${e.message}")
+        }
+
+    private suspend fun ask(
+        method: String,
+        path: String,
+        body: ByteArray = Response.NO_BODY,
+        urgent: Boolean = false,
+        timeoutMs: Long = TIMEOUT_MS,
+    ): Response {
+        repeat(MAX_TRIES) {
+            requests.take(1, urgent)
+            val r = http.send(method, path, body, timeoutMs)
+            // 429 was not executed: the other nodes have used the budget up, so a little later there is some again.
+            if (r.status != 429) return r
+            delay(BUSY_MS * (it + 1))
+        }
+        throw StateUnavailableException("state service: over its limit")
+    }
+
+    private companion object {
+        const val SHARE = 0.8
+        const val MAX_PENDING = 2_000
+        const val MAX_BATCH = 32
+        const val PAGE = 500
+        const val TIMEOUT_MS = 1_500L
+        const val EXTEND_MS = 1_000L
+        const val WATCH_SLACK_MS = 15_000L
+        const val MAX_TRIES = 4
+        const val BUSY_MS = 120L
+        const val CONGESTED_S = 3.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/wire/CloudCodec.kt
@@ -0,0 +1,46 @@
+package org.honeyjunction.wire
+
+import com.fasterxml.jackson.databind.JsonNode
+import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.Listed
+import org.honeyjunction.core.model.Cluster
+import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Resources
+
+/** What the cloud says and is asked. */
+object CloudCodec {
+    class Page(val machines: List<Listed>, val more: Boolean)
+
+    fun types(body: ByteArray, cluster: Cluster): Map<Int, MachineType> =
+        Json.readObject(body).list("HiveKinds").associate { o ->
+            val name = o.text("Sku")
+            cluster.typeNames.index(name) to MachineType(
+                name, Resources(o.amount("Vcpus"), o.amount("Gpus"), o.amount("MemoryGb")),
+                o.amount("CacheGb"), o.amount("FetchGbPerS"), o.amount("Hourly"), o.amount("LowPrice"),
+                o.amount("StartupS"), o.list("Meadows").map { cluster.zones.index(it.textValue()) },
+            )
+        }
+
+    fun rent(e: Effect.Rent): ByteArray = Json.write(
+        Json.obj().put("SwarmCall", e.request).put("HiveKind", e.type).put("Meadow", e.zone)
+            .put("BorrowedHives", e.offer.spot).put("Count", e.count),
+    )
+
+    fun names(machines: List<String>): ByteArray =
+        Json.write(Json.obj().apply { set<JsonNode>("Hives", Json.arr().apply { machines.forEach(::add) }) })
+
+    fun rented(body: ByteArray): List<String> = Json.readObject(body).list("Hives").mapNotNull { it.textValue() }
+
+    fun page(body: ByteArray): Page {
+        val o = Json.readObject(body)
+        val machines = o.list("Hives").map {
+            val stage = it.text("Stage")
+            Listed(
+                it.text("Ref"), it.textOrNull("Address"), it.text("HiveKind"), it.text("Meadow"),
+                it.flagOr("BorrowedHives", false), stage == "booting", stage == "failed",
+                it.amountOrNull("HeldS") ?: 0.0,
+            )
+        }
+        return Page(machines, o.flagOr("More", false))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -0,0 +1,147 @@
+package org.honeyjunction.wire
+
+import okio.Buffer
+import okio.EOFException
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.placement.Proposal
+import org.honeyjunction.core.placement.Room
+import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Summary
+import org.honeyjunction.core.placement.TeamShare
+
+/** What controllers say to each other. Each question gets one answer on the same connection. */
+sealed interface PeerMessage {
+    /** A controller asks for the summary of its jobs; [workersHeard] tells how many reports it got lately. */
+    data class Ask(val node: String, val term: Long, val workersHeard: Int) : PeerMessage
+
+    /** [certain]: the holder is sure of its term, so the state service answers it. */
+    class Told(val term: Long, val certain: Boolean, val summary: Summary) : PeerMessage
+
+    data class NotHolder(val term: Long) : PeerMessage
+
+    data class Propose(val term: Long, val proposals: List<Proposal>) : PeerMessage
+
+    data class Accepted(val count: Int) : PeerMessage
+
+    /** A user's request that only the holder can answer. */
+    class Forward(val method: String, val path: String, val body: ByteArray) : PeerMessage
+
+    class Answer(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerMessage
+}
+
+/** Frames of a length, a kind and its fields, in Okio buffers. */
+object PeerCodec {
+    const val MAX_FRAME = 1024 * 1024L
+    private const val ASK = 1
+    private const val TOLD = 2
+    private const val NOT_HOLDER = 3
+    private const val PROPOSE = 4
+    private const val ACCEPTED = 5
+    private const val FORWARD = 6
+    private const val ANSWER = 7
+
+    fun encode(m: PeerMessage): ByteArray {
+        val body = Buffer()
+        when (m) {
+            is PeerMessage.Ask -> body.writeByte(ASK).text(m.node).writeLong(m.term).writeInt(m.workersHeard)
+            is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).summary(m.summary)
+            is PeerMessage.NotHolder -> body.writeByte(NOT_HOLDER).writeLong(m.term)
+            is PeerMessage.Propose -> body.writeByte(PROPOSE).writeLong(m.term).all(m.proposals) {
+                writeInt(it.job).writeInt(it.task).writeInt(it.machine)
+            }
+            is PeerMessage.Accepted -> body.writeByte(ACCEPTED).writeInt(m.count)
+            is PeerMessage.Forward -> body.writeByte(FORWARD).text(m.method).text(m.path).bytes(m.body)
+            is PeerMessage.Answer -> body.writeByte(ANSWER).writeInt(m.status).writeInt(m.retryAfterS).bytes(m.body)
+        }
+        return Buffer().writeInt(body.size.toInt()).apply { writeAll(body) }.readByteArray()
+    }
+
+    /** The next whole frame of [input], or null while it is incomplete. */
+    fun decode(input: Buffer): PeerMessage? {
+        if (input.size < Int.SIZE_BYTES) return null
+        val length = input.peek().readInt().toLong()
+        if (length !in 1..MAX_FRAME) throw MalformedException("frame of $length bytes")
+        if (input.size < Int.SIZE_BYTES + length) return null
+        input.skip(Int.SIZE_BYTES.toLong())
+        val body = Buffer().apply { write(input, length) }
+        return try {
+            read(body)
+        } catch (e: EOFException) {
+            throw MalformedException("frame cut short: ${e.message}")
+        }
+    }
+
+    private fun read(b: Buffer): PeerMessage = when (val kind = b.readByte().toInt()) {
+        ASK -> PeerMessage.Ask(b.text(), b.readLong(), b.readInt())
+        TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.summary())
+        NOT_HOLDER -> PeerMessage.NotHolder(b.readLong())
+        PROPOSE -> PeerMessage.Propose(b.readLong(), b.all { Proposal(readInt(), readInt(), readInt()) })
+        ACCEPTED -> PeerMessage.Accepted(b.readInt())
+        FORWARD -> PeerMessage.Forward(b.text(), b.text(), b.bytes())
+        ANSWER -> PeerMessage.Answer(b.readInt(), b.readInt(), b.bytes())
+        else -> throw MalformedException("frame of kind $kind")
+    }
+
+    private fun Buffer.summary(s: Summary): Buffer {
+        all(s.rooms) {
+            writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
+                .all(it.images.asList()) { image -> writeInt(image) }
+        }
+        all(s.teams) { amount(it.weight).writeInt(it.running) }
+        writeInt(s.slots)
+        return all(s.rows) {
+            writeInt(it.job).writeInt(it.task).writeInt(it.team).writeByte(it.priority.ordinal).writeLong(it.waitingMs)
+                .resources(it.need).writeInt(it.image).amount(it.imageGb).writeLong(it.zones).writeLong(it.types)
+                .flag(it.spot).flag(it.oneZone).writeInt(it.gangOf).flag(it.guaranteed).flag(it.zoneRoom != null)
+                .all(it.zoneRoom.orEmpty()) { room -> writeInt(room) }
+        }
+    }
+
+    private fun Buffer.summary(): Summary {
+        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray()) }
+        val teams = all { TeamShare(amount(), readInt()) }
+        val slots = readInt()
+        val rows = all {
+            Row(
+                readInt(), readInt(), readInt(), priority(), readLong(), resources(), readInt(), amount(), readLong(),
+                readLong(), flag(), flag(), readInt(), flag(), flag().let { bound -> all { readInt() }.takeIf { bound } },
+            )
+        }
+        return Summary(rooms, teams, slots, rows)
+    }
+
+    private fun Buffer.priority() = Priority.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("priority")
+
+    private fun Buffer.resources(r: Resources) = amount(r.cpus).amount(r.gpus).amount(r.memoryGb)
+
+    private fun Buffer.resources() = Resources(amount(), amount(), amount())
+
+    private fun Buffer.amount(d: Double): Buffer = writeLong(d.toRawBits())
+
+    private fun Buffer.amount() = Double.fromBits(readLong())
+
+    private fun Buffer.flag(f: Boolean): Buffer = writeByte(if (f) 1 else 0)
+
+    private fun Buffer.flag() = readByte().toInt() != 0
+
+    private fun Buffer.bytes(b: ByteArray): Buffer = writeInt(b.size).write(b)
+
+    private fun Buffer.bytes(): ByteArray = readByteArray(length().toLong())
+
+    private fun Buffer.text(s: String): Buffer = bytes(s.toByteArray())
+
+    private fun Buffer.text() = String(bytes())
+
+    private inline fun <T> Buffer.all(items: List<T>, write: Buffer.(T) -> Unit): Buffer {
+        writeInt(items.size)
+        items.forEach { write(it) }
+        return this
+    }
+
+    private inline fun <T> Buffer.all(read: Buffer.() -> T): List<T> = List(length()) { read() }
+
+    /** No list can have more items than there are bytes left: a bad length asks for no memory. */
+    private fun Buffer.length(): Int =
+        readInt().also { if (it < 0 || it > size) throw MalformedException("length $it") }
+}
