--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -70,8 +70,8 @@
         if (job.errorMachines.size <= SUSPECT_AFTER) {
             if (machine.phase == MachinePhase.UP) machine.enter(MachinePhase.DRAINING)
         }
-        val doublings = (job.errorMachines.size - 1).coerceIn(0, 6)
-        job.notBefore = now + BACKOFF_MS * (1L shl doublings)
+        job.failures++
+        job.notBefore = now + BACKOFF_MS * (1L shl (job.failures - 1).coerceAtMost(MAX_DOUBLINGS))
     }
 
     private fun bits(job: Job, chunk: Int): ByteArray {
@@ -101,6 +101,7 @@
         private const val MAX_BATCH = 4
         private const val SUSPECT_AFTER = 2
         private const val BACKOFF_MS = 500L
+        private const val MAX_DOUBLINGS = 7
     }
 }
 
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -57,6 +57,7 @@
 
     /** Machines on which a task of the job failed. */
     val errorMachines = HashSet<Int>()
+    var failures = 0
 
     /** The final record is being written; nothing of the job may be started any more. */
     var closing = false
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/app/SettingsTest.kt
@@ -0,0 +1,64 @@
+package org.honeyjunction.app
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class SettingsTest {
+    private val platform = """{"host_name":"n0","zone":"a","api_addr":"10.0.0.1:8080","peer_listen":"10.0.0.1:8081","unknown":{},
+        "seeds":[{"host_name":"n1","zone":"b","address":"10.0.0.2:8081"}],"external":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+        "params":{"nodes":2,"zones":["a","b"],"teams":[{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":4.0,"gpus_max":8.0}],
+        "workers":{"report_s":3.0,"lease_s":28.0,"gang_wait_s":30.0,"gang_peer_s":5.0,"cancel_s":53.0},
+        "state":{"rps":250.0,"write_rps":15.0,"value_kb":4.0,"txn_ops":8},"cloud":{"rps":3.0,"list_lag_s":4.0},
+        "machine_limits":{"core_share":0.3,"ram_mb":268.0,"max_sockets":1500},"skew_ms":250.0}}"""
+
+    private fun file() = Json.readObject(platform.toByteArray())
+
+    @Test
+    fun `the platform's file`() {
+        val s = Settings.parse(file())
+        assertEquals("n0", s.node)
+        assertEquals(28_000L, s.cluster.leaseMs)
+        assertEquals(8.0, s.cluster.teams.single().limit.gpus)
+        assertEquals(2, s.stateLimits.nodes)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "/host_name|null", "/api_addr|\"localhost:80\"", "/api_addr|\"10.0.0.1\"", "/external|7", "/external/state|null",
+            "/params/zones|\"a\"", "/params/teams|null", "/params/workers/lease_s|-1", "/params/workers/report_s|\"3\"",
+            "/params/state/write_rps|0", "/params/state/txn_ops|1.5", "/params/cloud|null",
+        ],
+    )
+    fun `a bad field is named`(path: String, value: String) {
+        val o = file()
+        val parent = o.at(path.substringBeforeLast('/')) as ObjectNode
+        val name = path.substringAfterLast('/')
+        parent.set<ObjectNode>(name, Json.read(value.toByteArray()))
+        val e = assertThrows(MalformedException::class.java) { Settings.parse(o) }
+        assertTrue(name in e.message!!, e.message)
+    }
+
+    @Test
+    fun `operators may set some and leave the rest`() {
+        val tuning = OperatorSettings.parse(Json.read("""{"round_ms":2000,"cost":{"alpha":2.5}}""".toByteArray()))
+        assertEquals(2000L, tuning.roundMs)
+        assertEquals(2.5, tuning.cost.alpha)
+        assertEquals(Tuning().idleMs, tuning.idleMs)
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = ["{\"round_ms\":\"x\"}", "{\"round_ms\":1}", "{\"rounds\":5}", "{\"cost\":{\"alpha\":-1}}"])
+    fun `operators' settings against the schema`(text: String) {
+        assertThrows(MalformedException::class.java) { OperatorSettings.parse(Json.read(text.toByteArray())) }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -0,0 +1,139 @@
+package org.honeyjunction.core
+
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.placement.CostMatrix
+import org.honeyjunction.core.placement.CostSettings
+import org.honeyjunction.core.placement.Preemption
+import org.honeyjunction.core.placement.Room
+import org.honeyjunction.core.placement.Round
+import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Running
+import org.honeyjunction.core.placement.Summary
+import org.honeyjunction.core.placement.TeamShare
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+private fun gpus(n: Int) = Resources(n * 4.0, n.toDouble(), n * 16.0)
+
+private fun row(
+    job: Int, task: Int = 0, team: Int = 0, image: Int = job, gpus: Int = 1, priority: Priority = Priority.NORMAL,
+    zones: Long = -1, spot: Boolean = false, oneZone: Boolean = false, gangOf: Int = 0, guaranteed: Boolean = true,
+    waitingMs: Long = 0, zoneRoom: List<Int>? = null, types: Long = -1,
+) = Row(
+    job, task, team, priority, waitingMs, gpus(gpus), image, 5.0, zones, types, spot, oneZone, gangOf, guaranteed, zoneRoom,
+)
+
+private fun room(machine: Int, gpus: Int = 1, zone: Int = 0, spot: Boolean = false, vararg images: Int) =
+    Room(machine, gpus(gpus), 0, zone, spot, images)
+
+private fun summary(rooms: List<Room>, vararg rows: Row, running: Int = 0) =
+    Summary(rooms, listOf(TeamShare(1.0, running), TeamShare(3.0, 0)), rooms.size, rows.asList())
+
+class RoundTest {
+    private val round = Round()
+
+    private fun placed(summary: Summary) = round.place(summary).associate { (it.job to it.task) to it.machine }
+
+    @Test
+    fun `figure 1 of the paper - both tasks run where their blocks are`() {
+        // T1's data is on both nodes, T2's on the first alone; the greedy scheduler gives the first node to T1.
+        val t1 = row(1, image = 1)
+        val t2 = row(2, image = 2)
+        val both = summary(listOf(room(10, 1, 0, false, 1, 2), room(11, 1, 0, false, 1)), t1, t2)
+        assertEquals(mapOf((1 to 0) to 11, (2 to 0) to 10), placed(both))
+    }
+
+    @Test
+    fun `two teams of weights 1 and 3 share the slots by their rations`() {
+        val rows = (0 until 8).map { row(1, it, team = 0) } + (0 until 8).map { row(2, it, team = 1) }
+        val rooms = (0 until 8).map { room(it) }
+        assertEquals(mapOf(1 to 2, 2 to 6), round.place(summary(rooms, *rows.toTypedArray())).groupingBy { it.job }.eachCount())
+    }
+
+    @Test
+    fun `formulas 6 and 9`() {
+        val s = Summary(List(8) { room(it) }, listOf(TeamShare(1.0, 3), TeamShare(3.0, 1)), 8, emptyList())
+        val matrix = CostMatrix(s, CostSettings())
+        assertEquals(300.0, matrix.groupCost(0), 1e-9)
+        assertEquals(100.0 / 3, matrix.groupCost(1), 1e-9)
+        assertEquals(0, matrix.slotsToOccupy(0, 9))
+        assertEquals(5, matrix.slotsToOccupy(1, 9))
+        assertEquals(2, matrix.slotsToOccupy(1, 2))
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "a gang that fits starts whole,           gang,2,2",
+        "a gang that does not fit does not start, gang,3,0",
+        "an array starts what fits,               array,3,2",
+        "a job of one zone stays in one,          zone,2,1",
+        "a spread job fills no zone beyond half,  spread,3,2",
+        "no spot machine unless allowed,          spot,1,0",
+        "no zone that is not allowed,             barred,1,0",
+        "no type that is not allowed,             type,1,0",
+        "a task larger than any room waits,       large,1,0",
+    )
+    fun `what may start`(name: String, kind: String, tasks: Int, expected: Int) {
+        val rooms = when (kind) {
+            "spot" -> listOf(room(0, spot = true))
+            "zone" -> listOf(room(0, zone = 0), room(1, zone = 1))
+            "spread" -> listOf(room(0, 4, zone = 0))
+            else -> listOf(room(0), room(1))
+        }
+        val rows = (0 until tasks).map {
+            when (kind) {
+                "gang" -> row(1, it, gangOf = tasks)
+                "zone" -> row(1, it, oneZone = true)
+                "spread" -> row(1, it, zoneRoom = listOf(2, 2))
+                "barred" -> row(1, it, zones = 2)
+                "type" -> row(1, it, types = 2)
+                "large" -> row(1, it, gpus = 2)
+                else -> row(1, it)
+            }
+        }
+        assertEquals(expected, round.place(summary(rooms, *rows.toTypedArray())).size, name)
+    }
+
+    @Test
+    fun `higher priority goes first, and what is left takes the rest of the room`() {
+        val rooms = listOf(room(0, 4))
+        val low = (0 until 4).map { row(1, it, priority = Priority.LOW) }
+        val high = row(2, gpus = 3, priority = Priority.PRODUCTION)
+        val jobs = round.place(summary(rooms, high, *low.toTypedArray())).map { it.job }.sorted()
+        assertEquals(listOf(1, 2), jobs)
+    }
+
+    @Test
+    fun `a task that waited long goes before a newer one whose image is cached`() {
+        val rooms = listOf(room(0, 1, 0, false, 2))
+        val old = row(1, waitingMs = 600_000)
+        assertEquals(listOf(1), round.place(summary(rooms, row(2, image = 2), old)).map { it.job })
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "lower priority makes room,                HIGH,true,NORMAL,0,true,true",
+        "equal priority does not,                  HIGH,true,HIGH,0,false,false",
+        "borrowed work of another team does,       NORMAL,true,HIGH,1,false,true",
+        "another team's guaranteed work does not,  NORMAL,true,HIGH,1,true,false",
+        "nothing is taken for work beyond a guarantee, NORMAL,false,HIGH,1,false,false",
+    )
+    fun preemption(name: String, mine: Priority, guaranteed: Boolean, theirs: Priority, team: Int, theirsGuaranteed: Boolean, stops: Boolean) {
+        val waiting = row(1, priority = mine, guaranteed = guaranteed)
+        val victim = Running("v", 0, team, theirs, theirsGuaranteed, gpus(1), 5.0)
+        val victims = Preemption.victims(waiting, listOf(Room(0, Resources.NONE, 0, 0, false, intArrayOf())), mapOf(0 to listOf(victim)))
+        assertEquals(stops, victims.isNotEmpty(), name)
+    }
+
+    @Test
+    fun `the machine that loses least is freed`() {
+        val full = listOf(0, 1).map { Room(it, Resources.NONE, 0, 0, false, intArrayOf()) }
+        val running = mapOf(0 to listOf(Running("dear", 0, 0, Priority.LOW, true, gpus(1), 90.0)), 1 to listOf(Running("cheap", 1, 0, Priority.LOW, true, gpus(1), 3.0)))
+        assertEquals(listOf("cheap"), Preemption.victims(row(1), full, running).map { it.of })
+        assertTrue(Preemption.victims(row(1, gpus = 2), full, running).isEmpty())
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/World.kt
@@ -0,0 +1,232 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Listed
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.Cluster
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Names
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.model.Team
+import java.util.PriorityQueue
+import java.util.Random
+
+/** Whole cores in virtual time, against stand-ins; after every step the rules are asserted. */
+class World(seed: Long, private val capacity: Int = 12) {
+    val random = Random(seed)
+    var now = 0L
+        private set
+    val state = StandInState()
+    val workers = LinkedHashMap<String, StandInWorker>()
+    val cancelledAt = HashMap<String, Long>()
+    val broken = ArrayList<String>()
+    var started = 0
+        private set
+    private val rentals = HashMap<String, List<String>>()
+    private val booting = LinkedHashMap<String, Triple<Long, String, Boolean>>()
+    private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var order = 0L
+    private var names = 0
+    private val liveBefore = HashMap<String, Pair<String, Long>>()
+    var holder: Core? = null
+        private set
+    var cloudDown = false
+
+    private class Event(val at: Long, val order: Long, val run: () -> Unit)
+
+    /** A holder's process; a deposed one that does not know it yet goes on acting. */
+    inner class Core(val term: Long) {
+        var alive = true
+        var reachable = true
+        val holder = Holder(cluster(), Tuning(), term, "n", state.recovered(), now, now, LAG).also { it.leaseUntil(now + LEASE) }
+
+        fun run(block: Holder.() -> Unit) {
+            if (!alive) return
+            holder.block()
+            for (e in holder.drain()) carryOut(this, e)
+        }
+    }
+
+    fun at(delay: Long, run: () -> Unit) {
+        events.add(Event(now + delay, order++, run))
+    }
+
+    private fun latency() = 2L + random.nextInt(20)
+
+    /** A new term begins; the old holder's writes do not count any more, though it may not know. */
+    fun elect() {
+        state.term++
+        holder = Core(state.term).also(::tick)
+    }
+
+    private fun tick(core: Core) {
+        if (!core.alive) return
+        if (core === holder && !state.down) core.holder.leaseUntil(now + LEASE)
+        core.run { tick(now) }
+        at(100) { tick(core) }
+    }
+
+    fun submit(id: Int, kind: JobKind, tasks: Int, team: String = "a", spot: Boolean = false, spread: Boolean = false, oneZone: Boolean = false, gpus: Int = 1, seconds: Double = 8.0, checkpoint: Double = 0.0, jobClass: String = "c"): String {
+        val spec = JobSpec(
+            "j-$id", jobClass, team, kind, Priority.NORMAL, tasks, Resources(gpus * 1.0, gpus.toDouble(), gpus * 1.0),
+            "i${id % 3}", 2.0, null, null, oneZone, spread, spot, seconds, checkpoint, 1.0, null,
+        )
+        val stored = state.submit(StoredJob(spec, "n", now, 0, JobStage.ACTIVE))
+        at(latency()) { holder?.run { jobSeen(stored, now, now) } }
+        return spec.id
+    }
+
+    fun cancel(id: String) = holder?.run { cancel(id) }
+
+    private fun job(id: String) = state.jobs[id] ?: state.finals[id]
+
+    private fun carryOut(core: Core, e: Effect) {
+        when (e) {
+            is Effect.Commit -> at(latency()) {
+                val outcome = state.commit(core.term, e.changes)
+                val lost = random.nextInt(50) == 0
+                at(if (outcome == CommitOutcome.APPLIED) latency() else 300) {
+                    if (outcome == CommitOutcome.REFUSED) core.alive = false
+                    else if (!lost || e.changes.any { it is Change.JobOver }) core.run { committed(e.id, outcome, now) }
+                    else core.run { committed(e.id, CommitOutcome.UNKNOWN, now) }
+                }
+            }
+            is Effect.Send -> deliver(core, e)
+            is Effect.Rent -> at(100) { rent(core, e) }
+            is Effect.Release -> at(100) {
+                if (!cloudDown) e.machines.forEach { workers.remove(it); booting.remove(it) }
+                val ok = !cloudDown
+                at(100) { core.run { released(e.machines, ok, now) } }
+            }
+            is Effect.Cancelled -> if (!e.done) cancelledAt.putIfAbsent(e.job, now)
+            is Effect.StepDown -> core.alive = false
+        }
+    }
+
+    /** Commands reach the worker, or come much later: held back by a cut or a hanging machine. */
+    private fun deliver(core: Core, e: Effect.Send) {
+        val w = workers[e.machine]
+        val held = w == null || w.silent(now) || now < w.cutUntil || !core.reachable
+        val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil) - now + random.nextInt(30_000) else latency()
+        at(delay) {
+            val there = workers[e.machine]?.takeIf { !it.silent(now) } ?: return@at
+            there.advance(now)
+            val done = there.command(e.token, e.session, e.commands, now)
+            val report = there.report()
+            if (!held) at(latency()) { core.run { if (done) commandExecuted(e.id, report, now) else commandRejected(e.id, report, now) } }
+        }
+        if (held) at(2000) { core.run { commandUnanswered(e.id, now) } }
+    }
+
+    private fun rent(core: Core, e: Effect.Rent) {
+        if (cloudDown) return core.run { rentalUnknown(e.request, now) }
+        val names = rentals.getOrPut(e.request) {
+            val free = capacity - workers.size - booting.size
+            List(minOf(free, e.count).coerceAtLeast(0)) { "vm-%05d".format(++names) }
+        }
+        for (name in names) {
+            if (name in workers || name in booting) continue
+            booting[name] = Triple(now + 3000 + random.nextInt(3000), e.zone, e.offer.spot)
+        }
+        val lost = random.nextInt(10) == 0
+        core.run { if (lost) rentalUnknown(e.request, now) else if (names.isEmpty()) rentalRefused(e.request, now) else rented(e.request, names, now) }
+    }
+
+    private fun list(core: Core) {
+        val seen = workers.values.map { Listed(it.name, "10.1.0.1:1", "t4", it.zone, it.spot, false, it.dead, 9.0) } +
+            booting.map { (name, b) -> Listed(name, null, "t4", b.second, b.third, true, false, 1.0) }
+        at(LAG) { core.run { listed(seen, now) } }
+    }
+
+    private fun hello(w: StandInWorker) {
+        w.nextReportAt = now + 1500 + random.nextInt(1000)
+        if (w.silent(now)) return
+        val report = w.report()
+        val sentAt = now
+        // A report that is held back arrives late, at whoever holds the term by then.
+        val delay = if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency()
+        at(delay) {
+            val core = holder?.takeIf { it.alive && it.reachable } ?: return@at
+            core.run {
+                val answer = hello(report, now) ?: return@run
+                val (token, commands) = answer.token to answer.commands
+                at(latency()) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
+            }
+        }
+    }
+
+    fun run(forMs: Long) {
+        val end = now + forMs
+        while (now < end) {
+            now += 20
+            while (events.isNotEmpty() && events.peek().at <= now) events.poll().run()
+            booting.filterValues { it.first <= now }.forEach { (name, b) ->
+                booting.remove(name)
+                workers[name] = StandInWorker(name, b.second, b.third, LEASE_WORKER, now, ::job)
+            }
+            for (w in workers.values.toList()) {
+                w.advance(now)
+                if (now >= w.nextReportAt) hello(w)
+            }
+            if (now % 3000 == 0L) holder?.takeIf { it.alive && !cloudDown }?.let(::list)
+            check()
+        }
+    }
+
+    /** The rules, as the protocol states them. */
+    private fun check() {
+        val live = workers.values.filter { it.holds(now) }.flatMap { w -> w.tasks.filterValues { it.live }.map { (id, t) -> Triple(id, w, t) } }
+        for ((id, there) in live.groupBy { it.first }) {
+            if (there.size > 1) broken += "$now ran_twice: $id on ${there.map { it.second.name }}"
+            val t = there[0]
+            val key = t.second.name to t.third.attempt
+            if (liveBefore.put(id, key) != key) onStart(id, t.second, t.third, live)
+        }
+        liveBefore.keys.retainAll(live.mapTo(HashSet()) { it.first })
+        for ((team, limit) in LIMITS) {
+            val used = live.filter { it.third.job.spec.team == team }.sumOf { it.third.job.spec.need.gpus }
+            if (used > limit) broken += "$now quota: $team uses $used"
+        }
+        for (w in workers.values) {
+            val used = w.tasks.values.filter { it.live }.sumOf { it.job.spec.need.gpus }
+            if (used > 4) broken += "$now overcommitted: ${w.name} $used"
+        }
+        for ((id, since) in cancelledAt) {
+            if (now - since > CANCEL && live.any { it.third.job.spec.id == id }) broken += "$now ran_cancelled: $id"
+        }
+    }
+
+    private fun onStart(id: String, w: StandInWorker, t: StandInWorker.Running, live: List<Triple<String, StandInWorker, StandInWorker.Running>>) {
+        started++
+        val spec = t.job.spec
+        if (w.spot && !spec.spot) broken += "$now wrong_place: $id on a spot machine"
+        val mates = live.filter { it.third.job.spec.id == spec.id }
+        if (spec.oneZone && mates.any { it.second.zone != w.zone }) broken += "$now wrong_place: $id out of its zone"
+        if (spec.spread && mates.count { it.second.zone == w.zone } > (spec.tasks + 1) / 2) broken += "$now wrong_place: $id crowds a zone"
+        if (state.finals[spec.id]?.stage == JobStage.CANCELLED && now - (cancelledAt[spec.id] ?: now) > CANCEL) broken += "$now ran_cancelled: $id starts"
+    }
+
+    companion object {
+        const val LEASE = 5_000L
+        const val LEASE_WORKER = 12_000L
+        const val CANCEL = 37_000L
+        const val LAG = 4_000L
+        val LIMITS = mapOf("a" to 10.0, "b" to 16.0)
+
+        fun cluster() = Cluster(
+            Names().also { n -> listOf("x", "y").forEach(n::index) },
+            LIMITS.map { (name, most) -> Team(name, Resources(0.0, 8.0, 0.0), Resources(0.0, most, 0.0)) },
+            LEASE_WORKER, 2_000, CANCEL, 30_000, 50,
+        ).also {
+            it.types[it.typeNames.index("t4")] = MachineType("t4", Resources(4.0, 4.0, 4.0), 50.0, 1.0, 8.0, 3.0, 5.0, listOf(0, 1))
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
@@ -0,0 +1,114 @@
+package org.honeyjunction.wire
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import okio.Buffer
+import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.TaskState
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.placement.Room
+import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Summary
+import org.honeyjunction.core.placement.TeamShare
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+class CodecTest {
+    private val good = """{"Ref":"j-000412","Comb":"train","Colony":"vision","Cast":"ensemble","Precedence":"high","Cells":16,
+        "Vcpus":8.0,"Gpus":1.0,"MemoryGb":64.0,"Brood":"img-07","PullGb":6.2,"HiveKinds":["g8"],"Meadow":null,
+        "SamePlace":true,"Scatter":false,"BorrowedHives":true,"ForageS":240.0,"CapS":30.0,"SealS":4.0,"BloomEndS":900.0,"New":1}"""
+
+    private fun job() = Json.readObject(good.toByteArray())
+
+    @Test
+    fun `a job survives its way through the state service`() {
+        val spec = JobCodec.spec(job())
+        assertEquals(JobKind.GANG, spec.kind)
+        assertEquals(Priority.HIGH, spec.priority)
+        val record = JobCodec.record(spec, "n", 7, JobStage.CANCELLED)
+        val stored = JobCodec.stored(Json.read(Json.write(record)), 3)
+        assertEquals(spec, stored.spec)
+        assertEquals(JobStage.CANCELLED, stored.stage)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "Ref|\"x-1\"", "Ref|7", "Ref|null", "Cells|0", "Cells|100001", "Cells|1.5", "Cells|-1", "Cells|\"1\"",
+            "Vcpus|-1", "Vcpus|\"8\"", "Vcpus|1e400", "Gpus|null", "MemoryGb|true", "Cast|\"solo\"", "Precedence|\"urgent\"",
+            "Colony|\"\"", "Brood|null", "HiveKinds|\"g8\"", "HiveKinds|[1]", "Meadow|3", "SamePlace|null",
+            "Scatter|\"yes\"", "BorrowedHives|1", "ForageS|-2", "CapS|null", "SealS|[]", "BloomEndS|-1",
+        ],
+    )
+    fun `a job with a bad field is refused`(field: String, value: String) {
+        val o = job()
+        assertThrows(MalformedException::class.java) {
+            o.set<ObjectNode>(field, Json.read(value.toByteArray()))
+            JobCodec.spec(o)
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["", "{", "[]", "7", "null", "{} {}", "{\"a\":NaN}", "\"text\""])
+    fun `what is no JSON object is refused`(text: String) {
+        assertThrows(MalformedException::class.java) { Json.readObject(text.toByteArray()) }
+    }
+
+    @Test
+    fun `fields that may be null may be missing`() {
+        val o = job().apply { remove(listOf("HiveKinds", "Meadow", "BloomEndS")) }
+        val spec = JobCodec.spec(o)
+        assertNull(spec.types)
+        assertNull(spec.zone)
+        assertNull(spec.deadlineS)
+    }
+
+    @ParameterizedTest
+    @CsvSource("done,DONE", "halted,STOPPED", "peers,PEERS", "incomplete,INCOMPLETE", "error,ERROR", "full,NO_ROOM", "busy,BUSY", "no_such,UNKNOWN_JOB", "unheard-of,ERROR")
+    fun `why a task ended`(word: String, cause: Cause) {
+        val report = WorkerCodec.report(
+            """{"Hive":"vm-1","Address":"10.1.0.1:9000","HiveKind":"g8","Meadow":"a","BorrowedHives":true,"Flight":1,
+            "Waggle":88,"Crown":41,"Cells":[{"Cell":"j-1/3","Sortie":2,"Stage":"ended","Cause":"$word"}]}""".toByteArray(),
+        )
+        assertEquals(TaskState.Ended(cause, false), report.tasks.single().state)
+        assertEquals(3, report.tasks.single().number)
+    }
+
+    private fun frame(): ByteArray {
+        val row = Row(1, 2, 0, Priority.HIGH, 99, Resources(1.0, 2.0, 3.0), 4, 5.5, 3, 1, true, false, 2, true, listOf(1, 0))
+        val summary = Summary(listOf(Room(3, Resources(8.0, 1.0, 2.0), 0, 1, true, intArrayOf(4, 9))), listOf(TeamShare(2.0, 7)), 4, listOf(row))
+        return PeerCodec.encode(PeerMessage.Told(5, true, summary))
+    }
+
+    @Test
+    fun `a summary survives its way to a peer`() {
+        val told = PeerCodec.decode(Buffer().write(frame())) as PeerMessage.Told
+        assertEquals(listOf(1, 0), told.summary.rows.single().zoneRoom)
+        assertEquals(Priority.HIGH, told.summary.rows.single().priority)
+        assertArrayEquals(intArrayOf(4, 9), told.summary.rooms.single().images)
+        assertArrayEquals(frame(), PeerCodec.encode(told))
+    }
+
+    @Test
+    fun `a frame cut anywhere waits for the rest, and a spoilt one is refused or read, but never more`() {
+        val whole = frame()
+        for (cut in whole.indices) assertNull(PeerCodec.decode(Buffer().write(whole, 0, cut)))
+        for (at in whole.indices) {
+            val spoilt = whole.copyOf().also { it[at] = (it[at].toInt() xor 0x7f).toByte() }
+            try {
+                PeerCodec.decode(Buffer().write(spoilt))
+            } catch (e: MalformedException) {
+                assertEquals(false, e.message.isNullOrEmpty())
+            }
+        }
+    }
+}
