Rent only where no room gets free sooner than a new machine is ready

Cause: waiting arrays rented machines that were ready only when their tasks could long have run on warm ones (boot plus fetch exceeds the run time). Ruled out: idle time alone, since the machines came up after the demand was gone.

--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -8,9 +8,15 @@
 /** One kind of machine that the cloud rents. */
 data class Offer(val type: Int, val zone: Int, val spot: Boolean)
 
+/** Room that a running task will probably leave, in so many seconds. */
+class Leaving(val inS: Double, val need: Resources)
+
 /** Room that is there, or will be: a machine that is up or booting. */
-class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean) {
+class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, val leaving: List<Leaving> = emptyList()) {
     var needed = false
+
+    fun freeWithin(seconds: Double): Resources =
+        leaving.fold(free) { sum, l -> if (l.inS <= seconds) sum + l.need else sum }
 }
 
 /** Tasks like [sample] of which [count] are expected to arrive while a machine boots. */
@@ -28,7 +34,7 @@
         val zoneOfJob = HashMap<Int, Int>()
         for (row in waiting) {
             val bound = if (row.oneZone) zoneOfJob[row.job] else null
-            val placed = fit(row, bound, open) ?: buy(row, bound, zones, rent)?.also(open::add)
+            val placed = fit(row, bound, open) ?: awaited(row, bound, open) ?: buy(row, bound, zones, rent)?.also(open::add)
             if (placed == null) {
                 unmet += row
                 continue
@@ -57,6 +63,13 @@
                 compareBy<Bin> { it.empty && !it.needed }.thenBy { row.spot != it.offer.spot }.thenBy { it.free.gpus },
             )
 
+    /** Room that gets free before a machine rented now could have booted and fetched the image: renting would be later. */
+    private fun awaited(row: Row, zone: Int?, bins: List<Bin>): Bin? = bins.firstOrNull { bin ->
+        val type = types[bin.offer.type] ?: return@firstOrNull false
+        bin.leaving.isNotEmpty() && allows(row, bin.offer, zone) &&
+            row.need.fitsIn(bin.freeWithin(type.bootS + row.imageGb / type.fetchGbPerS))
+    }
+
     private fun buy(row: Row, zone: Int?, zones: MutableMap<Int, Int>, rent: MutableMap<Offer, Int>): Bin? {
         val offer = types.entries.asSequence().flatMap { (index, type) ->
             type.zones.asSequence().flatMap { z -> sequenceOf(Offer(index, z, true), Offer(index, z, false)) }
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -0,0 +1,45 @@
+package org.honeyjunction.core
+
+import org.honeyjunction.core.capacity.Bin
+import org.honeyjunction.core.capacity.Expected
+import org.honeyjunction.core.capacity.Leaving
+import org.honeyjunction.core.capacity.Offer
+import org.honeyjunction.core.capacity.Planner
+import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.placement.Row
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class PlannerTest {
+    private val size = Resources(4.0, 4.0, 4.0)
+    private val types = mapOf(0 to MachineType("t", size, 50.0, 0.5, 8.0, 3.0, 20.0, listOf(0, 1)))
+    private val spot = Offer(0, 0, true)
+    private val ordinary = Offer(0, 0, false)
+
+    private fun row(task: Int, spot: Boolean) =
+        Row(1, task, 0, Priority.NORMAL, 0, Resources(1.0, 1.0, 1.0), 0, 5.0, -1, -1, spot, false, 0, true)
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "what fits into free room rents nothing,             4, 0, true,  4,  0, false, 0",
+        "four more fit one machine,                          5, 0, true,  4,  0, false, 1",
+        "expected tasks are rented for,                      0, 8, true,  4,  0, false, 1",
+        "room that is free before a new machine would be,    8, 0, true,  4, 25, false, 0",
+        "room that gets free too late,                       8, 0, true,  4, 31, false, 1",
+        "refused offers leave the task unmet,                8, 0, true,  4,  0, true,  0",
+        "no spot machine for what may not use it,            4, 0, false, 0,  0, false, 1",
+    )
+    fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int) {
+        val leaving = if (leavesIn > 0) listOf(Leaving(leavesIn, size)) else emptyList()
+        val bin = Bin(7, spot, Resources(free * 1.0, free * 1.0, free * 1.0), true, leaving)
+        val plan = Planner(types) { refused }.plan((0 until waiting).map { row(it, maySpot) }, listOf(Expected(row(0, maySpot), expected)), listOf(bin), emptyMap())
+        assertEquals(machines, plan.rent.values.sum(), name)
+        assertEquals(if (machines == 0) emptySet() else setOf(maySpot), plan.rent.keys.mapTo(HashSet()) { it.spot })
+        assertEquals(if (refused) 4 else 0, plan.unmet.size)
+        assertEquals(maySpot, 7 in plan.keep, "the machine at hand is kept for what it can take")
+        assertEquals(false, ordinary in plan.rent && maySpot)
+    }
+}
