Forecast: no stretching of short histories; departures make room for arrays

Classes with a start objective keep ready room. Ruled out: renting for waiting tasks, which was small beside it.

--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -16,6 +16,7 @@
 import org.honeyjunction.wire.list
 import org.honeyjunction.wire.listOrEmpty
 import org.honeyjunction.wire.text
+import org.honeyjunction.wire.textOrNull
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -55,6 +56,8 @@
                     leaseMs = millis(workers, "lease_s"), reportMs = millis(workers, "report_s"),
                     cancelMs = millis(workers, "cancel_s"), gangWaitMs = millis(workers, "gang_wait_s"),
                     recordTasks = (state.amount("value_kb") * 1024 / RECORD_TASK_BYTES).toInt().coerceAtLeast(1),
+                    startWithinS = params.listOrEmpty("objectives").filter { it.textOrNull("kind") == "wait" }
+                        .associate { it.text("class") to it.amount("within_s") },
                 ),
                 StateLimits(
                     positive(state, "rps"), positive(state, "write_rps"), state.count("txn_ops").toInt().coerceAtLeast(1),
--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -19,8 +19,11 @@
         leaving.fold(free) { sum, l -> if (l.inS <= seconds) sum + l.need else sum }
 }
 
-/** Tasks like [sample] of which [count] are expected to arrive while a machine boots. */
-class Expected(val sample: Row, val count: Int)
+/**
+ * Tasks like [sample] of which [count] are expected to arrive while a machine boots. If they are to start at once,
+ * room must be ready for them; the others can have the room of tasks that end meanwhile.
+ */
+class Expected(val sample: Row, val count: Int, val atOnce: Boolean)
 
 class Plan(val rent: Map<Offer, Int>, val keep: Set<Int>, val unmet: List<Row>)
 
@@ -44,7 +47,8 @@
         }
         for (e in expected) {
             repeat(e.count) {
-                val placed = fit(e.sample, null, open) ?: buy(e.sample, null, zones, rent)?.also(open::add)
+                val meanwhile = if (e.atOnce) null else awaited(e.sample, null, open)
+                val placed = fit(e.sample, null, open) ?: meanwhile ?: buy(e.sample, null, zones, rent)?.also(open::add)
                 placed?.let { take(it, e.sample) }
             }
         }
@@ -100,12 +104,12 @@
         arrivals.getOrPut(jobClass, ::ArrayDeque).addLast(Arrival(now, tasks, sample))
     }
 
-    fun expected(now: Long, startedAt: Long, horizonMs: Long, factor: Double): List<Expected> =
-        arrivals.values.mapNotNull { recent ->
+    /** A short history is not stretched: a burst at the start says little of what follows. */
+    fun expected(now: Long, horizonMs: Long, factor: Double, atOnce: (Int) -> Boolean): List<Expected> =
+        arrivals.entries.mapNotNull { (jobClass, recent) ->
             while (recent.isNotEmpty() && recent.first().at < now - windowMs) recent.removeFirst()
             val latest = recent.lastOrNull() ?: return@mapNotNull null
-            val span = (now - startedAt).coerceIn(horizonMs, windowMs)
-            val count = ceil(recent.sumOf { it.tasks } * factor * horizonMs / span).toInt()
-            Expected(latest.sample, count)
+            val count = ceil(recent.sumOf { it.tasks } * factor * horizonMs / windowMs).toInt()
+            Expected(latest.sample, count, atOnce(jobClass))
         }.sortedByDescending { it.sample.priority }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -130,7 +130,9 @@
         val bins = bins(now)
         val zones = state.machines.filter { it.phase <= MachinePhase.UP }.groupingBy { it.zone }.eachCount()
         val bootMs = (state.cluster.types.values.maxOf { it.bootS } * 1000).toLong()
-        val expected = forecast.expected(now, startedAt, bootMs, state.tuning.spareFactor)
+        val expected = forecast.expected(now, bootMs, state.tuning.spareFactor) {
+            state.cluster.classes.name(it) in state.cluster.startWithinS
+        }
         val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
             .plan(queue.rows(now, MAX_ROWS), expected, bins, zones)
         unmet = plan
--- a/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
@@ -60,6 +60,8 @@
     val gangWaitMs: Long,
     /** How many tasks a machine's durable record has room for. */
     val recordTasks: Int,
+    /** Classes whose tasks are to start within so many seconds. */
+    val startWithinS: Map<String, Double> = emptyMap(),
 ) {
     val types = LinkedHashMap<Int, MachineType>()
     val typeNames = Names()
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -35,7 +35,7 @@
     fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int) {
         val leaving = if (leavesIn > 0) listOf(Leaving(leavesIn, size)) else emptyList()
         val bin = Bin(7, spot, Resources(free * 1.0, free * 1.0, free * 1.0), true, leaving)
-        val plan = Planner(types) { refused }.plan((0 until waiting).map { row(it, maySpot) }, listOf(Expected(row(0, maySpot), expected)), listOf(bin), emptyMap())
+        val plan = Planner(types) { refused }.plan((0 until waiting).map { row(it, maySpot) }, listOf(Expected(row(0, maySpot), expected, atOnce = true)), listOf(bin), emptyMap())
         assertEquals(machines, plan.rent.values.sum(), name)
         assertEquals(if (machines == 0) emptySet() else setOf(maySpot), plan.rent.keys.mapTo(HashSet()) { it.spot })
         assertEquals(if (refused) 4 else 0, plan.unmet.size)
