Preemption: higher priorities take room at once from work that saves

Cause: the plan's unmet rows alone led to stops, one at a time and after 4 s, so services and gangs waited for a boot while arrays that save held the room. Room that was made is held for the priority it was made for.

--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -2,15 +2,11 @@
 
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
-import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Phase
-import org.honeyjunction.core.placement.Preemption
 import org.honeyjunction.core.placement.Proposal
-import org.honeyjunction.core.placement.Room
 import org.honeyjunction.core.placement.Round
-import org.honeyjunction.core.placement.Running
 import org.honeyjunction.core.placement.Summary
 
 class HelloAnswer(val token: Long, val commands: List<Command>)
@@ -48,6 +44,8 @@
     private val heardFrom = HashMap<String, Long>()
     private var nextRoundAt = startedAt
     private var nextPlanAt = startedAt
+    private var nextPreemptionAt = startedAt
+    private val makingRoom = MakingRoom(state, queue, fleet)
     private var outbid = false
 
     init {
@@ -188,33 +186,19 @@
         if (now >= nextPlanAt) {
             nextPlanAt = now + tuning.capacityMs
             fleet.plan(now)
-            preempt(now)
+        }
+        if (now >= nextPreemptionAt) {
+            nextPreemptionAt = now + PREEMPTION_MS
+            makingRoom.preempt(now)
         }
         settle(now)
     }
 
     private fun lapsed(job: Job, now: Long) = now - heardFrom.getOrDefault(job.owner, Long.MIN_VALUE / 2) > tuning.lapseMs
 
-    /** One machine at a time is freed for the first task that nothing else can be done for. */
-    private fun preempt(now: Long) {
-        val row = fleet.unmet?.unmet?.firstOrNull { it.waitingMs >= tuning.preemptAfterMs } ?: return
-        if (state.liveMachines.any { m -> m.placements.values.any { it.stopping } }) return
-        val rooms = state.machines.filter { it.phase == MachinePhase.UP && it.type >= 0 }
-            .map { Room(it.index, state.room(it), it.type, it.zone, it.spot, it.images.keys.toIntArray()) }
-        if (rooms.any { row.allows(it) }) return
-        val running = state.machines.filter { it.phase == MachinePhase.UP }.flatMap { m ->
-            m.placements.values.filter { it.phase.reported }.map { p ->
-                val job = p.task.job
-                val saves = job.spec.checkpointS > 0
-                val lost = if (saves || job.spec.kind == JobKind.SERVICE) 0.0 else (now - p.since) / 1000.0
-                Running(p, m.index, job.team, job.spec.priority, job.guaranteed, job.spec.need, lost)
-            }
-        }.groupBy { it.machine }
-        Preemption.victims(row, rooms, running).forEach { it.of.task.yieldPlace() }
-    }
-
     private companion object {
         const val MAX_ROWS = 256
         const val NEW_JOB_MS = 30L
+        const val PREEMPTION_MS = 300L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.mayUse
@@ -76,7 +77,7 @@
 
     fun summary(now: Long, limit: Int, owner: (Job) -> Boolean): Summary {
         val rooms = state.machines.filter { it.usable && it.type >= 0 && it.address != null }.map { m ->
-            Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray())
+            room(m, now)
         }
         val running = IntArray(state.cluster.teams.size)
         state.liveMachines.forEach { m -> m.placements.values.forEach { running[it.task.job.team]++ } }
@@ -88,6 +89,9 @@
         return Summary(rooms.filter { it.free.fitsAnything() }, teams, slots, rows(now, limit, owner))
     }
 
+    fun room(m: Machine, now: Long) =
+        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now))
+
     private fun weight(r: Resources) = if (r.gpus > 0) r.gpus else r.cpus
 
     private fun Resources.fitsAnything() = cpus > 1e-6 && memoryGb > 1e-6
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -57,7 +57,7 @@
         val machine = state.machines.getOrNull(proposal.machine) ?: return null
         if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
         if (machine.placements.size >= state.cluster.recordTasks) return null
-        if (!mayRun(job, task, machine)) return null
+        if (job.spec.priority < machine.floorAt(now) || !mayRun(job, task, machine)) return null
         if (!job.spec.need.fitsIn(state.room(machine))) return null
         if (!state.cluster.teams[job.team].allows(state.usage(job.team) + job.spec.need)) return null
         return state.place(task, machine, attempt, Phase.RESERVED, now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Tuning.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Tuning.kt
@@ -10,7 +10,7 @@
     val idleMs: Long = 45_000,
     val spareFactor: Double = 1.0,
     val forecastMs: Long = 150_000,
-    val preemptAfterMs: Long = 4_000,
+    val preemptAfterMs: Long = 700,
     val refusalMs: Long = 8_000,
     val lapseMs: Long = 3_000,
     val leaseMs: Long = 5_000,
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -54,6 +54,12 @@
     /** Images believed to be cached, least recently used first. */
     val images = LinkedHashMap<Int, Double>(16, 0.75f, true)
 
+    /** Room that tasks were stopped for: until then, lower priorities may not take it. */
+    var floor = Priority.LOW
+    var floorUntil = Long.MIN_VALUE
+
+    fun floorAt(now: Long) = if (now < floorUntil) floor else Priority.LOW
+
     val usable get() = phase == MachinePhase.UP
 
     /** The only way a machine's phase changes. A release is never taken back. */
--- a/src/main/kotlin/org/honeyjunction/core/placement/Preemption.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Preemption.kt
@@ -19,10 +19,18 @@
     fun <T> mayStop(row: Row, victim: Running<T>): Boolean =
         victim.priority < row.priority || row.guaranteed && victim.team != row.team && !victim.guaranteed
 
-    /** The victims on the one machine where stopping them loses least, or none if no machine could be freed. */
-    fun <T> victims(row: Row, rooms: List<Room>, running: Map<Int, List<Running<T>>>): List<Running<T>> =
+    /**
+     * The victims on the one machine where stopping them loses least, together with the wait that [delayS] tells; none
+     * if no machine could be freed.
+     */
+    fun <T> victims(
+        row: Row,
+        rooms: List<Room>,
+        running: Map<Int, List<Running<T>>>,
+        delayS: (Int, Row) -> Double = { _, _ -> 0.0 },
+    ): List<Running<T>> =
         rooms.mapNotNull { room -> onMachine(row, room, running[room.machine].orEmpty()) }
-            .minByOrNull { chosen -> chosen.sumOf { it.lostS } }
+            .minByOrNull { chosen -> chosen.sumOf { it.lostS } + delayS(chosen.first().machine, row) }
             .orEmpty()
 
     private fun <T> onMachine(row: Row, room: Room, running: List<Running<T>>): List<Running<T>>? {
@@ -34,7 +42,6 @@
             chosen += victim
             free += victim.need
         }
-        val freed = Room(room.machine, free, room.type, room.zone, room.spot, room.images)
-        return chosen.takeIf { it.isNotEmpty() && row.allows(freed) }
+        return chosen.takeIf { it.isNotEmpty() && row.allows(room.withFree(free)) }
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -21,7 +21,7 @@
                 val here = used[room.machine] ?: return@map room
                 val rows = here.map { byTask.getValue(it.job to it.task) }
                 val free = rows.fold(room.free) { free, row -> free - row.need }
-                Room(room.machine, free, room.type, room.zone, room.spot, room.images + rows.map { it.image })
+                room.withFree(free, room.images + rows.map { it.image })
             }
             // A job bound to one zone or spread over zones goes on in the next round, with its zones counted anew.
             val bound = taken.mapTo(HashSet()) { it.job }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -3,8 +3,18 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 
-/** What a round needs to know of one machine. */
-class Room(val machine: Int, val free: Resources, val type: Int, val zone: Int, val spot: Boolean, val images: IntArray)
+/** What a round needs to know of one machine; [floor] is the least priority that may use it now. */
+class Room(
+    val machine: Int,
+    val free: Resources,
+    val type: Int,
+    val zone: Int,
+    val spot: Boolean,
+    val images: IntArray,
+    val floor: Priority = Priority.LOW,
+) {
+    fun withFree(free: Resources, images: IntArray = this.images) = Room(machine, free, type, zone, spot, images, floor)
+}
 
 /** A team's weight, its running tasks, and how many of all the tasks run. */
 class TeamShare(val weight: Double, val running: Int)
@@ -30,7 +40,7 @@
 ) {
     fun allows(room: Room): Boolean =
         (zones shr room.zone) and 1L != 0L && (types shr room.type) and 1L != 0L &&
-            (spot || !room.spot) && need.fitsIn(room.free)
+            (spot || !room.spot) && priority >= room.floor && need.fitsIn(room.free)
 }
 
 /** The holder's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
