--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -41,7 +41,11 @@
     private val users = UserApi(this)
     private val round = Round(tuning.cost)
     private var driver: HolderDriver? = null
-    private var standBackUntil = Long.MIN_VALUE
+    private var freeSince = Long.MIN_VALUE
+
+    /** Gave the term up since no worker reached this node, and has not heard one since. */
+    private var deaf = false
+    private var heldSince = Long.MIN_VALUE
     private var toldCertainAt = Long.MIN_VALUE / 2
     private var reports = RecentCount(HEARD_MS)
     private var typesBody = Response.NO_BODY
@@ -91,6 +95,7 @@
             return Response(400)
         }
         reports.note(clock.steady())
+        deaf = false
         val current = driver
         val answer = current?.holder?.hello(report, clock.steady())
         current?.settle()
@@ -133,8 +138,9 @@
     private suspend fun takePart() {
         while (true) {
             try {
-                val term = election.look(mayTake = clock.steady() >= standBackUntil)
+                val term = election.look(mayTake())
                 if (term != null) hold(term)
+                if (election.holder != null) freeSince = Long.MIN_VALUE
             } catch (e: IOException) {
                 log.debug("election: {}", e.message)
             } catch (e: MalformedException) {
@@ -144,6 +150,13 @@
         }
     }
 
+    /** A node that heard no worker when it held the term lets the others go first. */
+    private fun mayTake(): Boolean {
+        if (!deaf) return true
+        if (freeSince == Long.MIN_VALUE) freeSince = clock.steady()
+        return clock.steady() - freeSince > STAND_BACK_MS
+    }
+
     private suspend fun hold(term: Term) {
         val now = clock.steady()
         val (recovered, jobsFrom) = try {
@@ -158,6 +171,7 @@
         )
         val current = HolderDriver(term, holder, loop, clock, state, cloud) { reason -> stepDown(reason) }
         driver = current
+        heldSince = clock.steady()
         current.start(jobsFrom)
         log.info(
             "holding term {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
@@ -281,12 +295,16 @@
         }
     }
 
-    /** A holder whom no worker reaches gives way when a peer still hears some. */
+    /**
+     * A holder whom no worker reaches gives way: soon when a peer hears some, and after a while in any case, since
+     * they may all be with an earlier holder that is cut off from everyone else.
+     */
     private fun resignIfDeaf(current: HolderDriver, m: PeerMessage.Ask) {
         val now = clock.steady()
-        if (m.workersHeard == 0 || reports.count(now) > 0 || !current.holder.expectsReports(now)) return
-        standBackUntil = now + STAND_BACK_MS
-        stepDown("no worker reaches this node, but ${m.node} hears ${m.workersHeard}")
+        if (reports.count(now) > 0 || !current.holder.expectsReports(now)) return
+        if (m.workersHeard == 0 && now - heldSince < DEAF_MS) return
+        deaf = true
+        stepDown("no worker reaches this node; ${m.node} hears ${m.workersHeard}")
         loop.scope.launch { election.resign(current.term) }
     }
 
@@ -299,7 +317,8 @@
         const val PAUSE_MS = 100L
         const val SUMMARY_STEP_MS = 60L
         const val HEARD_MS = 5_000L
-        const val STAND_BACK_MS = 15_000L
+        const val STAND_BACK_MS = 3_000L
+        const val DEAF_MS = 12_000L
         const val SOCKET_SHARE = 0.7
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.capacity.Bin
+import org.honeyjunction.core.capacity.Expected
 import org.honeyjunction.core.capacity.Forecast
 import org.honeyjunction.core.capacity.Leaving
 import org.honeyjunction.core.capacity.Offer
@@ -37,7 +38,9 @@
             val type = state.cluster.types[m.type]
             val bootMs = (type?.bootS ?: DEFAULT_BOOT_S) * 1000
             val giveUp = when (m.phase) {
-                MachinePhase.BOOTING -> now - m.knownSince > if (m.registered) unheardMs else (bootMs * BOOT_PATIENCE).toLong() + listLagMs
+                MachinePhase.BOOTING ->
+                    if (m.registered) !deaf(now) && now - m.knownSince > unheardMs
+                    else now - m.knownSince > (bootMs * BOOT_PATIENCE).toLong() + listLagMs
                 MachinePhase.LOST -> true
                 MachinePhase.DRAINING -> m.placements.isEmpty() || m.noticeUntil.let { it != null && now > it + state.cluster.leaseMs }
                 MachinePhase.UP -> cancelledTooLong(m, now)
@@ -69,6 +72,9 @@
             it.task.job.stage == JobStage.CANCELLED && it.stopping && now - m.lastHeardAt > state.cluster.cancelMs / 4
         }
 
+    /** While no machine at all is heard, the silence says more of this node than of them. */
+    private fun deaf(now: Long) = state.machines.none { now - it.lastHeardAt < state.cluster.reportMs * 4 }
+
     private val unheardMs get() = (state.cluster.leaseMs * DRIFT).toLong() + MARGIN_MS
 
     private fun release(now: Long) {
@@ -129,12 +135,8 @@
         if (state.cluster.types.isEmpty()) return
         val bins = bins(now)
         val zones = state.machines.filter { it.phase <= MachinePhase.UP }.groupingBy { it.zone }.eachCount()
-        val bootMs = (state.cluster.types.values.maxOf { it.bootS } * 1000).toLong()
-        val expected = forecast.expected(now, bootMs, state.tuning.spareFactor) {
-            state.cluster.classes.name(it) in state.cluster.startWithinS
-        }
         val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
-            .plan(queue.rows(now, MAX_ROWS), expected, bins, zones)
+            .plan(queue.rows(now, MAX_ROWS), expected(now), bins, zones)
         unmet = plan
         plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
         for (m in state.machines) {
@@ -143,6 +145,22 @@
         }
     }
 
+    private fun expected(now: Long): List<Expected> {
+        val bootMs = (state.cluster.types.values.maxOf { it.bootS } * 1000).toLong()
+        return forecast.expected(now, bootMs, state.tuning.spareFactor) {
+            state.cluster.classes.name(it) in state.cluster.startWithinS
+        }
+    }
+
+    /** Whether all that runs, waits and is expected would do without [machine], with nothing rented in its place. */
+    fun canSpare(machine: Machine, now: Long): Boolean {
+        if (rentals.isNotEmpty() || state.machines.any { it.phase == MachinePhase.BOOTING }) return false
+        val rows = queue.rows(now, MAX_ROWS) + machine.placements.values.map { queue.row(it.task, now) }
+        val plan = Planner(state.cluster.types) { false }
+            .plan(rows, expected(now), bins(now).filter { it.machine != machine.index }, emptyMap())
+        return plan.rent.isEmpty() && plan.unmet.isEmpty()
+    }
+
     private fun bins(now: Long): List<Bin> {
         val there = state.machines.filter { m ->
             val type = state.cluster.types[m.type] ?: return@filter false
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -46,6 +46,7 @@
     private var nextPlanAt = startedAt
     private var nextPreemptionAt = startedAt
     private val makingRoom = MakingRoom(state, queue, fleet)
+    private val consolidation = Consolidation(state, fleet)
     private var outbid = false
 
     init {
@@ -123,6 +124,10 @@
     }
 
     private fun settle(now: Long) {
+        if (state.freed) {
+            state.freed = false
+            nextRoundAt = minOf(nextRoundAt, now + NEW_JOB_MS)
+        }
         lifecycle.flush()
         starts.flush(now)
     }
@@ -186,6 +191,7 @@
         if (now >= nextPlanAt) {
             nextPlanAt = now + tuning.capacityMs
             fleet.plan(now)
+            consolidation.step(now)
         }
         if (now >= nextPreemptionAt) {
             nextPreemptionAt = now + PREEMPTION_MS
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -5,6 +5,7 @@
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.model.mayUse
 import org.honeyjunction.core.model.zonesFor
 import org.honeyjunction.core.placement.Room
@@ -53,6 +54,12 @@
         left[job.team] = use
     }
 
+    /** The row that [task] would be if it had to be placed elsewhere. */
+    fun row(task: Task, now: Long): Row = sample(task.job).copy(
+        task = task.number, waitingMs = now - task.waitingSince,
+        zones = state.zonesNow(task.job, task) and allZones(task.job), guaranteed = task.job.guaranteed,
+    )
+
     /** A row like the job's tasks, for the forecast. */
     fun sample(job: Job): Row = Row(
         job.index, 0, job.team, job.spec.priority, 0, job.spec.need, job.image, job.spec.imageGb,
