--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -32,9 +32,6 @@
     private val commits = HashMap<Long, (CommitOutcome) -> Unit>()
     private var sequence = 0L
 
-    /** Room was given back, or a task waits again, since the last round. */
-    var freed = false
-
     /** Until then nobody else can hold the term. */
     var leaseValidUntil = Long.MIN_VALUE
 
@@ -96,7 +93,6 @@
         }
         placement.task.placements.remove(placement)
         placement.task.waitingSince = now
-        freed = true
         if (machine.placements.isEmpty()) machine.idleSince = now
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -152,12 +152,12 @@
         }
     }
 
-    /** Whether all that runs, waits and is expected would do without [machine], with nothing rented in its place. */
+    /** Whether nothing is expected, and all that runs and waits would do without [machine] and nothing in its place. */
     fun canSpare(machine: Machine, now: Long): Boolean {
-        if (rentals.isNotEmpty() || state.machines.any { it.phase == MachinePhase.BOOTING }) return false
+        if (expected(now).isNotEmpty() || rentals.isNotEmpty() || state.machines.any { it.phase == MachinePhase.BOOTING }) return false
         val rows = queue.rows(now, MAX_ROWS) + machine.placements.values.map { queue.row(it.task, now) }
         val plan = Planner(state.cluster.types) { false }
-            .plan(rows, expected(now), bins(now).filter { it.machine != machine.index }, emptyMap())
+            .plan(rows, emptyList(), bins(now).filter { it.machine != machine.index }, emptyMap())
         return plan.rent.isEmpty() && plan.unmet.isEmpty()
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -124,10 +124,6 @@
     }
 
     private fun settle(now: Long) {
-        if (state.freed) {
-            state.freed = false
-            nextRoundAt = minOf(nextRoundAt, now + NEW_JOB_MS)
-        }
         lifecycle.flush()
         starts.flush(now)
     }
