Locality cost counts fetches under way; tasks of one image side by side

Images fetched at once share a machine's rate, and the paper advises to allow for the slots of a node that share its bandwidth.

--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -4,6 +4,7 @@
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.model.mayUse
@@ -97,7 +98,10 @@
     }
 
     fun room(m: Machine, now: Long) =
-        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now))
+        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m))
+
+    private fun fetchingGb(m: Machine): Double = m.placements.values.filter { it.phase <= Phase.FETCHING && it.phase != Phase.UNHEARD }
+        .distinctBy { it.task.job.image }.sumOf { it.task.job.spec.imageGb }
 
     private fun weight(r: Resources) = if (r.gpus > 0) r.gpus else r.cpus
 
--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -29,7 +29,8 @@
             List(min(fits, rows.size)) { Slot(room, it) }
         }
         // First the first slot of every machine, so that the bound leaves no machine out.
-        return if (all.size <= settings.maxColumns) all else all.sortedBy { it.place }.take(settings.maxColumns)
+        if (all.size <= settings.maxColumns) return all
+        return all.sortedBy { it.place }.take(settings.maxColumns).sortedBy { it.room.machine }
     }
 
     /** The rows in the order of priority, guarantee, group cost and age. */
@@ -62,7 +63,7 @@
 
     fun cost(row: Row, slot: Slot, fairness: Double): Double {
         if (!row.allows(slot.room)) return BARRED
-        val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * row.imageGb
+        val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * (row.imageGb + slot.room.fetchingGb)
         val kind = if (row.spot && !slot.room.spot) settings.spotPreference else 0.0
         // A tie is broken towards the fuller machine, which leaves whole machines free.
         val packing = settings.packing * (slot.room.free.gpus - row.need.gpus)
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -21,7 +21,8 @@
                 val here = used[room.machine] ?: return@map room
                 val rows = here.map { byTask.getValue(it.job to it.task) }
                 val free = rows.fold(room.free) { free, row -> free - row.need }
-                room.withFree(free, room.images + rows.map { it.image })
+                val fetched = rows.filter { it.image !in room.images }.distinctBy { it.image }
+                room.withFree(free, room.images + fetched.map { it.image }, room.fetchingGb + fetched.sumOf { it.imageGb })
             }
             // A job bound to one zone or spread over zones goes on in the next round, with its zones counted anew.
             val bound = taken.mapTo(HashSet()) { it.job }
@@ -39,6 +40,8 @@
         val slots = matrix.slots(ordered)
         if (slots.isEmpty()) return emptyList()
         val rows = chooseZones(ordered, summary.rooms).take(2 * slots.size)
+            // Among equal costs, tasks of one image come to lie on slots side by side: one fetch serves them all.
+            .sortedWith(compareByDescending<Row> { it.priority }.thenBy { it.image })
         val fairness = matrix.fairness(rows, slots)
         val cost = Array(rows.size) { r -> DoubleArray(slots.size) { c -> matrix.cost(rows[r], slots[c], fairness[r]) } }
         val assigned = Hungarian.solve(cost)
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -12,8 +12,11 @@
     val spot: Boolean,
     val images: IntArray,
     val floor: Priority = Priority.LOW,
+    /** What the machine is fetching already: images share its rate. */
+    val fetchingGb: Double = 0.0,
 ) {
-    fun withFree(free: Resources, images: IntArray = this.images) = Room(machine, free, type, zone, spot, images, floor)
+    fun withFree(free: Resources, images: IntArray = this.images, fetchingGb: Double = this.fetchingGb) =
+        Room(machine, free, type, zone, spot, images, floor, fetchingGb)
 }
 
 /** A team's weight, its running tasks, and how many of all the tasks run. */
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -86,7 +86,7 @@
     private fun Buffer.summary(s: Summary): Buffer {
         all(s.rooms) {
             writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
-                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal)
+                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).amount(it.fetchingGb)
         }
         all(s.teams) { amount(it.weight).writeInt(it.running) }
         writeInt(s.slots)
@@ -99,7 +99,7 @@
     }
 
     private fun Buffer.summary(): Summary {
-        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority()) }
+        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount()) }
         val teams = all { TeamShare(amount(), readInt()) }
         val slots = readInt()
         val rows = all {
