A new holder knows the machines' images from their records

Cause: after a takeover the caches counted as empty, and tasks found running told nothing of their image, so the rounds paid for fetches that were not needed. Test: RecoveryTest.

--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -69,8 +69,8 @@
             val placement = state.place(task, machine, t.attempt, Phase.UNHEARD, now)
             if (task.job.stage != JobStage.ACTIVE) placement.askToStop(0.0)
         }
-        // What the record names was perhaps never fetched.
         machine.images.clear()
+        record.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
     }
 
     fun drain(): List<Effect> = ArrayList(state.effects).also { state.effects.clear() }
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -75,6 +75,8 @@
     val spot: Boolean,
     val session: Long,
     val tasks: List<RecordedTask>,
+    /** What its cache was believed to hold, so that a new holder knows where tasks would be local. */
+    val images: Map<String, Double>,
 )
 
 data class RecordedTask(val job: String, val number: Int, val attempt: Long)
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -69,6 +69,8 @@
         }
         if (known != null && known.attempt == said.attempt) {
             known.enter(phase, now)
+            // A running task's image is there, whatever an earlier holder's record said.
+            state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
             return
         }
         val elsewhere = task.placements.any { it.machine !== machine }
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -105,6 +105,7 @@
         val record = MachineRecord(
             machine.name, machine.address, state.cluster.typeNames.name(machine.type),
             state.cluster.zones.name(machine.zone), machine.spot, machine.session, tasks,
+            machine.images.entries.toList().takeLast(MAX_IMAGES).associate { (i, gb) -> state.cluster.images.name(i) to gb },
         )
         // While the write is on its way, either record may be the durable one: neither is enough for a start.
         val before = machine.recorded
@@ -189,6 +190,7 @@
         const val RESERVE_MS = 4_000L
         const val STOP_AGAIN_MS = 1_500L
         const val RETRY_MS = 500L
+        const val MAX_IMAGES = 16
     }
 }
 
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -65,10 +65,13 @@
         put("address", r.address).put("type", r.type).put("zone", r.zone).put("spot", r.spot).put("session", r.session)
         val list = putArray("tasks")
         r.tasks.forEach { list.addArray().add(it.job).add(it.number).add(it.attempt) }
+        val images = putObject("images")
+        r.images.forEach { (name, gb) -> images.put(name, gb) }
     }
 
     fun machine(name: String, v: JsonNode) = MachineRecord(
         name, v.textOrNull("address"), v.text("type"), v.text("zone"), v.flag("spot"), v.count("session"),
         v.list("tasks").map { RecordedTask(it[0].textValue(), it[1].intValue(), it[2].longValue()) },
+        v.given("images")?.properties().orEmpty().associate { (image, gb) -> image to gb.doubleValue() },
     )
 }
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -0,0 +1,116 @@
+package org.honeyjunction.core
+
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.MachineRecord
+import org.honeyjunction.core.control.RecordedTask
+import org.honeyjunction.core.control.Recovered
+import org.honeyjunction.core.control.Report
+import org.honeyjunction.core.control.ReportedTask
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.control.TaskState
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.sim.World
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.StateCodec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class RecoveryTest {
+    private val term = 3L
+    private val token = term shl 24
+    private val spec = JobSpec(
+        "j-1", "c", "a", JobKind.ARRAY, Priority.NORMAL, 2, Resources(1.0, 1.0, 1.0), "i", 5.0, null, null,
+        false, false, false, 10.0, 0.0, 0.0, null,
+    )
+    private val record = MachineRecord("vm-1", "10.1.0.1:1", "t4", "x", false, 1, listOf(RecordedTask("j-1", 0, 77)), mapOf("i" to 5.0))
+
+    private fun holder() = Holder(
+        World.cluster(), Tuning(), term, "n",
+        Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), emptyList(), listOf(record)), 0, 0, 4000,
+    ).also { it.leaseUntil(Long.MAX_VALUE) }
+
+    private fun report(session: Long, sequence: Long, withToken: Long, vararg tasks: ReportedTask) =
+        Report("vm-1", "10.1.0.1:1", "t4", "x", false, session, sequence, withToken, null, tasks.asList())
+
+    private fun Holder.places() = state.job("j-1")!!.tasks[0].placements
+
+    @Test
+    fun `what a machine's record says survives the state service, its images too`() {
+        assertEquals(record, StateCodec.machine("vm-1", Json.read(Json.write(StateCodec.machine(record)))))
+        val h = holder()
+        assertEquals(setOf(h.state.cluster.images.index("i")), h.state.machine("vm-1")!!.images.keys.toSet())
+    }
+
+    @Test
+    fun `the image of a task found running is known to be cached`() {
+        val h = holder()
+        h.state.machine("vm-1")!!.images.clear()
+        h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
+        assertEquals(1, h.state.machine("vm-1")!!.images.size)
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "a report without this term's token proves nothing,      1, 0, false, 1",
+        "a report with it that does not list the task does,      1, 1, false, 0",
+        "a newer session without it does not,                    2, 0, false, 1",
+        "a report with it that lists the task keeps it,          1, 1, true,  1",
+        "a report of an older session is ignored,                0, 1, false, 1",
+    )
+    fun `a task named by a record`(name: String, session: Long, acked: Int, lists: Boolean, left: Int) {
+        val h = holder()
+        assertEquals(Phase.UNHEARD, h.places().single().phase)
+        val tasks = if (lists) arrayOf(ReportedTask("j-1", 0, 77, TaskState.Running)) else emptyArray()
+        h.hello(report(session, 5, token * acked, *tasks), 10)
+        assertEquals(left, h.places().size, name)
+    }
+
+    @Test
+    fun `a worker that has seen a higher term ends the holder's part`() {
+        val h = holder()
+        assertNull(h.hello(report(1, 5, (term + 1) shl 24), 10))
+        assertTrue(h.drain().any { it is Effect.StepDown })
+    }
+
+    @Test
+    fun `time is no evidence at a worker that has not shown this term`() {
+        val h = holder()
+        h.tick(World.LEASE_WORKER * 10)
+        assertEquals(1, h.places().size)
+    }
+
+    @Test
+    fun `a lease that ended at a worker that knows this term is evidence, to the millisecond not before`() {
+        val h = holder()
+        h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
+        h.tick(10 + World.LEASE_WORKER)
+        assertEquals(1, h.places().size)
+        h.tick(10 + World.LEASE_WORKER + 1000)
+        assertEquals(0, h.places().size)
+    }
+
+    @Test
+    fun `nothing is started once the lease of the term may be over`() {
+        val h = holder()
+        h.hello(report(1, 5, token), 10)
+        h.leaseUntil(20)
+        h.tick(600)
+        h.drain().filterIsInstance<Effect.Commit>().forEach { h.committed(it.id, CommitOutcome.APPLIED, 700) }
+        assertEquals(emptyList<Effect>(), h.drain().filter { it is Effect.Send && it.commands.isNotEmpty() })
+        h.leaseUntil(5_000)
+        h.tick(800)
+        assertEquals(2, h.drain().filterIsInstance<Effect.Send>().sumOf { it.commands.size })
+    }
+}
