--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -40,6 +40,7 @@
     private const val ACCEPTED = 5
     private const val FORWARD = 6
     private const val ANSWER = 7
+    private const val NONE = -1
 
     fun encode(m: PeerMessage): ByteArray {
         val body = Buffer()
@@ -86,7 +87,7 @@
     private fun Buffer.summary(s: Summary): Buffer {
         all(s.rooms) {
             writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
-                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).amount(it.fetchingGb)
+                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).writeByte(it.fetchingFor?.ordinal ?: NONE)
         }
         all(s.teams) { amount(it.weight).writeInt(it.running) }
         writeInt(s.slots)
@@ -99,7 +100,7 @@
     }
 
     private fun Buffer.summary(): Summary {
-        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount()) }
+        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), priorityOrNone()) }
         val teams = all { TeamShare(amount(), readInt()) }
         val slots = readInt()
         val rows = all {
@@ -111,6 +112,8 @@
         return Summary(rooms, teams, slots, rows)
     }
 
+    private fun Buffer.priorityOrNone() = readByte().toInt().takeIf { it != NONE }?.let(Priority.entries::getOrNull)
+
     private fun Buffer.priority() = Priority.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("priority")
 
     private fun Buffer.resources(r: Resources) = amount(r.cpus).amount(r.gpus).amount(r.memoryGb)
