Revert one image at a time; drop unused settings; bound the unfinished tasks

A job may have 100,000 tasks, so beyond max_tasks (a setting) new jobs are told to come back. Removed: a state, two settings and a field that nothing read.

--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -46,6 +46,7 @@
     /** Gave the term up since no worker reached this node, and has not heard one since. */
     private var deaf = false
     private var heldSince = Long.MIN_VALUE
+    private var toldCrowded = false
     private var toldCertainAt = Long.MIN_VALUE / 2
     private var reports = RecentCount(HEARD_MS)
     private var typesBody = Response.NO_BODY
@@ -53,8 +54,8 @@
     val isHolder: Boolean get() = driver != null
     val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
 
-    /** Too many writes wait already: another one would not be answered in time. */
-    val overloaded: Boolean get() = state.congested
+    /** Too many writes or tasks wait already: another job would not be answered in time, or not fit into memory. */
+    val overloaded: Boolean get() = state.congested || driver?.holder?.crowded ?: toldCrowded
 
     private val stateSilent: Boolean get() = clock.steady() - election.contactAt > SILENT_MS
 
@@ -234,6 +235,7 @@
                 when (val told = peer.ask(ask, tuning.summaryMs + PEER_MS)) {
                     is PeerMessage.Told -> {
                         heardPeerAt = clock.steady()
+                        toldCrowded = told.crowded
                         if (told.certain) toldCertainAt = clock.steady()
                         val proposals = round.place(told.summary)
                         if (proposals.isNotEmpty()) peer.ask(PeerMessage.Propose(told.term, proposals), PEER_MS)
@@ -268,7 +270,7 @@
             if (current != null && m.term > current.term.number) stepDown("${m.node} knows a higher term")
             election.sawTerm(m.term)
             if (current != null) resignIfDeaf(current, m)
-            driver?.let { PeerMessage.Told(it.term.number, it.certain, summaryFor(it, m.node)) }
+            driver?.let { PeerMessage.Told(it.term.number, it.certain, it.holder.crowded, summaryFor(it, m.node)) }
                 ?: PeerMessage.NotHolder(election.term)
         }
         is PeerMessage.Propose -> {
--- a/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
@@ -32,6 +32,7 @@
             spareFactor = o.number("spare_factor", d.spareFactor), forecastMs = o.ms("forecast_ms", d.forecastMs),
             preemptAfterMs = o.ms("preempt_after_ms", d.preemptAfterMs), refusalMs = o.ms("refusal_ms", d.refusalMs),
             lapseMs = o.ms("lapse_ms", d.lapseMs), leaseMs = o.ms("lease_ms", d.leaseMs),
+            maxTasks = o.ms("max_tasks", d.maxTasks.toLong()).toInt(),
             cost = CostSettings(
                 cost.number("alpha", c.alpha), cost.number("beta", c.beta), cost.number("priority_step", c.priorityStep),
                 cost.number("spot_preference", c.spotPreference), cost.number("packing", c.packing),
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -32,7 +32,6 @@
     val state: String,
     val cluster: Cluster,
     val stateLimits: StateLimits,
-    val valueBytes: Int,
     val cloudRps: Double,
     val listLagMs: Long,
     val maxSockets: Int,
@@ -54,7 +53,7 @@
                     Names().also { names -> params.list("zones").forEach { names.index(it.textValue() ?: invalid("zones")) } },
                     params.list("teams").map(::team),
                     leaseMs = millis(workers, "lease_s"), reportMs = millis(workers, "report_s"),
-                    cancelMs = millis(workers, "cancel_s"), gangWaitMs = millis(workers, "gang_wait_s"),
+                    cancelMs = millis(workers, "cancel_s"),
                     recordTasks = (state.amount("value_kb") * 1024 / RECORD_TASK_BYTES).toInt().coerceAtLeast(1),
                     startWithinS = params.listOrEmpty("objectives").filter { it.textOrNull("kind") == "wait" }
                         .associate { it.text("class") to it.amount("within_s") },
@@ -63,7 +62,7 @@
                     positive(state, "rps"), positive(state, "write_rps"), state.count("txn_ops").toInt().coerceAtLeast(1),
                     peers.size + 1,
                 ),
-                (state.amount("value_kb") * 1024).toInt(), positive(cloud, "rps"), millis(cloud, "list_lag_s"),
+                positive(cloud, "rps"), millis(cloud, "list_lag_s"),
                 params.given("machine_limits")?.amountOrNull("max_sockets")?.toInt() ?: DEFAULT_SOCKETS,
             )
         }
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -220,9 +220,6 @@
         rental.retryAt = now + RETRY_MS
     }
 
-    /** Whether some machine's tasks are still known only from the record of an earlier term. */
-    val unheard: Boolean get() = state.liveMachines.any { m -> m.placements.values.any { it.phase == Phase.UNHEARD } }
-
     private companion object {
         const val DRIFT = 1.002
         const val MARGIN_MS = 300L
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -150,6 +150,9 @@
     /** Null while the final record is on its way: it may be durable already, and others may read it. */
     fun certainStatus(id: String): JobStatus? = status(id)?.takeUnless { it.stage == JobStage.ACTIVE && state.job(id)!!.closing }
 
+    /** As many unfinished tasks as memory is meant for: more must wait outside. */
+    val crowded: Boolean get() = state.active.values.sumOf { it.spec.tasks } > tuning.maxTasks
+
     /** Machines that should have reported by now, had their reports come through. */
     fun expectsReports(now: Long): Boolean =
         now - startedAt > state.cluster.reportMs * 3 && state.liveMachines.any { it.phase == MachinePhase.UP || it.registered }
--- a/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
@@ -24,7 +24,7 @@
         val unmet = fleet.unmet?.unmet.orEmpty().mapTo(HashSet()) { it.job }
         val running = machines.associate { m -> m.index to m.placements.values.filter { !it.stopping && it.phase.reported } }
         for (row in rows) {
-            val rooms = machines.map { m -> queue.room(m, now).withFree(free.getValue(m.index), fetchingFor = null) }
+            val rooms = machines.map { m -> queue.room(m, now).withFree(free.getValue(m.index)) }
             val ready = rooms.firstOrNull { row.allows(it) }
             if (ready != null) {
                 free[ready.machine] = ready.free - row.need
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -50,7 +50,6 @@
     val type: String,
     val zone: String,
     val spot: Boolean,
-    val booting: Boolean,
     val failed: Boolean,
     val heldS: Double,
 )
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -5,7 +5,6 @@
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Phase
-import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.model.mayUse
@@ -99,14 +98,10 @@
     }
 
     fun room(m: Machine, now: Long) =
-        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingFor(m))
+        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m))
 
-    /** Tasks that are not running yet on a machine that has their image already fetch nothing. */
-    private fun fetchingFor(m: Machine): Priority? {
-        val there = m.placements.values.filter { it.phase > Phase.FETCHING }.mapTo(HashSet()) { it.task.job.image }
-        return m.placements.values.filter { it.phase == Phase.FETCHING && it.task.job.image !in there }
-            .maxOfOrNull { it.task.job.spec.priority }
-    }
+    private fun fetchingGb(m: Machine): Double = m.placements.values.filter { it.phase <= Phase.FETCHING && it.phase != Phase.UNHEARD }
+        .distinctBy { it.task.job.image }.sumOf { it.task.job.spec.imageGb }
 
     private fun weight(r: Resources) = if (r.gpus > 0) r.gpus else r.cpus
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Tuning.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Tuning.kt
@@ -14,6 +14,6 @@
     val refusalMs: Long = 8_000,
     val lapseMs: Long = 3_000,
     val leaseMs: Long = 5_000,
-    val maxTasks: Int = 200_000,
+    val maxTasks: Int = 250_000,
     val cost: CostSettings = CostSettings(),
 )
--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -63,7 +63,7 @@
 
     fun cost(row: Row, slot: Slot, fairness: Double): Double {
         if (!row.allows(slot.room)) return BARRED
-        val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * row.imageGb
+        val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * (row.imageGb + slot.room.fetchingGb)
         val kind = if (row.spot && !slot.room.spot) settings.spotPreference else 0.0
         // A tie is broken towards the fuller machine, which leaves whole machines free.
         val packing = settings.packing * (slot.room.free.gpus - row.need.gpus)
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -7,25 +7,22 @@
     fun place(summary: Summary): List<Proposal> {
         var rooms = summary.rooms
         var waiting = summary.rows
-        var teams = summary.teams
         val chosen = ArrayList<Proposal>()
         // Slots are cut for the smallest task, so a larger neighbour can leave one too small: go on with what is left.
         repeat(MAX_PASSES) {
-            val current = Summary(rooms, teams, summary.slots, waiting)
+            val current = Summary(rooms, summary.teams, summary.slots, waiting)
             val taken = pass(current)
             if (taken.isEmpty()) return chosen
             chosen += taken
             val byTask = waiting.associateBy { it.job to it.task }
             val used = taken.groupBy { it.machine }
-            val joined = taken.groupingBy { byTask.getValue(it.job to it.task).team }.eachCount()
-            teams = teams.mapIndexed { i, t -> TeamShare(t.weight, t.running + joined.getOrDefault(i, 0)) }
             val started = taken.mapTo(HashSet()) { it.job to it.task }
             rooms = rooms.map { room ->
                 val here = used[room.machine] ?: return@map room
                 val rows = here.map { byTask.getValue(it.job to it.task) }
                 val free = rows.fold(room.free) { free, row -> free - row.need }
                 val fetched = rows.filter { it.image !in room.images }.distinctBy { it.image }
-                room.withFree(free, room.images + fetched.map { it.image }, fetched.maxOfOrNull { it.priority } ?: room.fetchingFor)
+                room.withFree(free, room.images + fetched.map { it.image }, room.fetchingGb + fetched.sumOf { it.imageGb })
             }
             // A job bound to one zone or spread over zones goes on in the next round, with its zones counted anew.
             val bound = taken.mapTo(HashSet()) { it.job }
@@ -43,6 +40,8 @@
         val slots = matrix.slots(ordered)
         if (slots.isEmpty()) return emptyList()
         val rows = chooseZones(ordered, summary.rooms).take(2 * slots.size)
+            // Among equal costs, tasks of one image come to lie on slots side by side: one fetch serves them all.
+            .sortedWith(compareByDescending<Row> { it.priority }.thenBy { it.image })
         val fairness = matrix.fairness(rows, slots)
         val cost = Array(rows.size) { r -> DoubleArray(slots.size) { c -> matrix.cost(rows[r], slots[c], fairness[r]) } }
         val assigned = Hungarian.solve(cost)
@@ -66,23 +65,12 @@
     private fun admit(pairs: List<Pair<Row, Room>>): List<Proposal> {
         val free = HashMap<Int, Resources>()
         val zoneUse = HashMap<Pair<Int, Int>, Int>()
-        val imageOf = HashMap<Int, Int>()
-        val machineOf = HashMap<Int, Int>()
         val fitting = pairs.filter { (row, room) ->
             val left = free.getOrDefault(room.machine, room.free)
             val inZone = zoneUse.getOrDefault(row.job to room.zone, 0)
             val bound = row.zoneRoom
-            // One new image a machine and one new machine an image: the next pass fills the machine's other slots with
-            // tasks of the same image, before another machine has to fetch it too.
-            val cached = row.image in room.images
-            val ok = row.need.fitsIn(left) && (bound == null || inZone < bound[room.zone]) &&
-                (cached || imageOf.getOrDefault(room.machine, row.image) == row.image &&
-                    (row.gangOf > 0 || machineOf.getOrDefault(row.image, room.machine) == room.machine))
+            val ok = row.need.fitsIn(left) && (bound == null || inZone < bound[room.zone])
             if (ok) {
-                if (!cached) {
-                    imageOf[room.machine] = row.image
-                    machineOf[row.image] = room.machine
-                }
                 free[room.machine] = left - row.need
                 zoneUse[row.job to room.zone] = inZone + 1
             }
@@ -94,6 +82,6 @@
     }
 
     private companion object {
-        const val MAX_PASSES = 12
+        const val MAX_PASSES = 6
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -12,11 +12,11 @@
     val spot: Boolean,
     val images: IntArray,
     val floor: Priority = Priority.LOW,
-    /** The priority of the tasks for which the machine is fetching an image now; null while it fetches none. */
-    val fetchingFor: Priority? = null,
+    /** What the machine is fetching already: images share its rate. */
+    val fetchingGb: Double = 0.0,
 ) {
-    fun withFree(free: Resources, images: IntArray = this.images, fetchingFor: Priority? = this.fetchingFor) =
-        Room(machine, free, type, zone, spot, images, floor, fetchingFor)
+    fun withFree(free: Resources, images: IntArray = this.images, fetchingGb: Double = this.fetchingGb) =
+        Room(machine, free, type, zone, spot, images, floor, fetchingGb)
 }
 
 /** A team's weight, its running tasks, and how many of all the tasks run. */
@@ -43,14 +43,7 @@
 ) {
     fun allows(room: Room): Boolean =
         (zones shr room.zone) and 1L != 0L && (types shr room.type) and 1L != 0L &&
-            (spot || !room.spot) && priority >= room.floor && need.fitsIn(room.free) && mayFetch(room)
-
-    /**
-     * Images fetched at the same time share the machine's rate, so both come late. One after the other, the first comes
-     * in time and the second no later; meanwhile another machine may take the task.
-     */
-    private fun mayFetch(room: Room): Boolean =
-        room.fetchingFor == null || priority > room.fetchingFor || image in room.images
+            (spot || !room.spot) && priority >= room.floor && need.fitsIn(room.free)
 }
 
 /** The holder's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
--- a/src/main/kotlin/org/honeyjunction/wire/CloudCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/CloudCodec.kt
@@ -34,10 +34,9 @@
     fun page(body: ByteArray): Page {
         val o = Json.readObject(body)
         val machines = o.list("Hives").map {
-            val stage = it.text("Stage")
             Listed(
                 it.text("Ref"), it.textOrNull("Address"), it.text("HiveKind"), it.text("Meadow"),
-                it.flagOr("BorrowedHives", false), stage == "booting", stage == "failed",
+                it.flagOr("BorrowedHives", false), it.text("Stage") == "failed",
                 it.amountOrNull("HeldS") ?: 0.0,
             )
         }
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -15,8 +15,8 @@
     /** A controller asks for the summary of its jobs; [workersHeard] tells how many reports it got lately. */
     data class Ask(val node: String, val term: Long, val workersHeard: Int) : PeerMessage
 
-    /** [certain]: the holder is sure of its term, so the state service answers it. */
-    class Told(val term: Long, val certain: Boolean, val summary: Summary) : PeerMessage
+    /** [certain]: the holder is sure of its term, so the state service answers it; [crowded]: it takes no more jobs. */
+    class Told(val term: Long, val certain: Boolean, val crowded: Boolean, val summary: Summary) : PeerMessage
 
     data class NotHolder(val term: Long) : PeerMessage
 
@@ -40,13 +40,12 @@
     private const val ACCEPTED = 5
     private const val FORWARD = 6
     private const val ANSWER = 7
-    private const val NONE = -1
 
     fun encode(m: PeerMessage): ByteArray {
         val body = Buffer()
         when (m) {
             is PeerMessage.Ask -> body.writeByte(ASK).text(m.node).writeLong(m.term).writeInt(m.workersHeard)
-            is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).summary(m.summary)
+            is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).flag(m.crowded).summary(m.summary)
             is PeerMessage.NotHolder -> body.writeByte(NOT_HOLDER).writeLong(m.term)
             is PeerMessage.Propose -> body.writeByte(PROPOSE).writeLong(m.term).all(m.proposals) {
                 writeInt(it.job).writeInt(it.task).writeInt(it.machine)
@@ -75,7 +74,7 @@
 
     private fun read(b: Buffer): PeerMessage = when (val kind = b.readByte().toInt()) {
         ASK -> PeerMessage.Ask(b.text(), b.readLong(), b.readInt())
-        TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.summary())
+        TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.flag(), b.summary())
         NOT_HOLDER -> PeerMessage.NotHolder(b.readLong())
         PROPOSE -> PeerMessage.Propose(b.readLong(), b.all { Proposal(readInt(), readInt(), readInt()) })
         ACCEPTED -> PeerMessage.Accepted(b.readInt())
@@ -87,7 +86,7 @@
     private fun Buffer.summary(s: Summary): Buffer {
         all(s.rooms) {
             writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
-                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).writeByte(it.fetchingFor?.ordinal ?: NONE)
+                .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).amount(it.fetchingGb)
         }
         all(s.teams) { amount(it.weight).writeInt(it.running) }
         writeInt(s.slots)
@@ -100,7 +99,7 @@
     }
 
     private fun Buffer.summary(): Summary {
-        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), priorityOrNone()) }
+        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount()) }
         val teams = all { TeamShare(amount(), readInt()) }
         val slots = readInt()
         val rows = all {
@@ -112,8 +111,6 @@
         return Summary(rooms, teams, slots, rows)
     }
 
-    private fun Buffer.priorityOrNone() = readByte().toInt().takeIf { it != NONE }?.let(Priority.entries::getOrNull)
-
     private fun Buffer.priority() = Priority.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("priority")
 
     private fun Buffer.resources(r: Resources) = amount(r.cpus).amount(r.gpus).amount(r.memoryGb)
