A holder past its lease, or that hears nobody, releases and rents nothing

Ruled out: preemption and the takeover itself, which took 113 ms. Test: RecoveryTest, a machine past its lease.

--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -41,7 +41,7 @@
                 MachinePhase.BOOTING ->
                     if (m.registered) !deaf(now) && now - m.knownSince > unheardMs
                     else now - m.knownSince > (bootMs * BOOT_PATIENCE).toLong() + listLagMs
-                MachinePhase.LOST -> true
+                MachinePhase.LOST -> !deaf(now)
                 MachinePhase.DRAINING -> m.placements.isEmpty() || m.noticeUntil.let { it != null && now > it + state.cluster.leaseMs }
                 MachinePhase.UP -> cancelledTooLong(m, now)
                 MachinePhase.RELEASING, MachinePhase.GONE -> false
@@ -78,7 +78,9 @@
     private val unheardMs get() = (state.cluster.leaseMs * DRIFT).toLong() + MARGIN_MS
 
     private fun release(now: Long) {
-        if (releasing || now < releaseRetryAt) return
+        // A holder that was cut off takes its machines for lost; its releases, held back and executed when the cut ends,
+        // would take them from its successor.
+        if (releasing || now < releaseRetryAt || now >= state.leaseValidUntil) return
         val due = state.machines.filter { it.phase == MachinePhase.RELEASING }.map { it.name }.take(MAX_RELEASE)
         if (due.isEmpty()) return
         releasing = true
@@ -131,8 +133,8 @@
     }
 
     fun plan(now: Long) {
+        if (state.cluster.types.isEmpty() || now >= state.leaseValidUntil) return
         retryRentals(now)
-        if (state.cluster.types.isEmpty()) return
         val bins = bins(now)
         val zones = state.machines.filter { it.phase <= MachinePhase.UP }.groupingBy { it.zone }.eachCount()
         val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -101,6 +101,23 @@
         assertEquals(0, h.places().size)
     }
 
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "a silent machine is released while others are heard,  true,  9999999, 1",
+        "not by a holder that hears nobody,                    false, 9999999, 0",
+        "nor by one whose term may be over,                    true,  1000,    0",
+    )
+    fun `a machine past its lease`(name: String, othersHeard: Boolean, leaseUntil: Long, released: Int) {
+        val h = holder()
+        h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
+        h.leaseUntil(leaseUntil)
+        for (i in 1L..20L) {
+            if (othersHeard) h.hello(report(1, i, token).copy(machine = "vm-2"), i * 1000)
+            h.tick(i * 1000)
+        }
+        assertEquals(released, h.drain().filterIsInstance<Effect.Release>().size, name)
+    }
+
     @Test
     fun `nothing is started once the lease of the term may be over`() {
         val h = holder()
