--- a/src/main/kotlin/org/honeyjunction/app/CloudClient.kt
+++ b/src/main/kotlin/org/honeyjunction/app/CloudClient.kt
@@ -3,6 +3,7 @@
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.io.Budget
 import org.honeyjunction.io.Clock
+import org.honeyjunction.io.Connections
 import org.honeyjunction.io.HttpClient
 import org.honeyjunction.io.Loop
 import org.honeyjunction.io.NoAnswerException
@@ -19,7 +20,7 @@
 
     data object NoCapacity : RentResult
 
-    private val http = HttpClient(loop, address, keep = 3)
+    private val http = HttpClient(Connections(loop, most = 3), address)
     private val budget = Budget(rps * SHARE, rps * 2 * SHARE, clock)
 
     suspend fun types(): ByteArray = ok(ask("GET", "/machine_types")).body
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -15,11 +15,12 @@
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
+import org.honeyjunction.io.Connections
 import org.honeyjunction.io.HttpClient
 import org.honeyjunction.io.Loop
 import org.honeyjunction.io.StateClient
+import org.honeyjunction.io.WriteOutcome
 import org.honeyjunction.wire.Condition
-import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.StateCodec
@@ -40,7 +41,7 @@
 ) {
     private val log = LoggerFactory.getLogger(HolderDriver::class.java)
     private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
-    private val workers = HashMap<String, HttpClient>()
+    private val workers = Connections(loop, holder.state.cluster.maxSends, perAddress = 1)
     private val cancelWaiters = HashMap<String, MutableList<CompletableDeferred<JobStage>>>()
     var validUntil = term.validUntil
         private set
@@ -63,7 +64,7 @@
     fun stop() {
         scope.cancel()
         cancelWaiters.values.flatten().forEach { it.cancel() }
-        workers.values.forEach { it.forgetConnections() }
+        workers.closeAll()
     }
 
     /** Does what the core asked for since the last call. */
@@ -84,7 +85,7 @@
 
     /** The job's final stage once it is durable; null for a job that this holder has not seen. */
     fun cancel(id: String): CompletableDeferred<JobStage>? {
-        val stage = holder.cancel(id) ?: return null
+        val stage = holder.cancel(id, clock.steady()) ?: return null
         val waiter = CompletableDeferred<JobStage>()
         if (stage == JobStage.ACTIVE) cancelWaiters.getOrPut(id, ::ArrayList).add(waiter) else waiter.complete(stage)
         settle()
@@ -148,18 +149,25 @@
 
     private suspend fun commit(e: Effect.Commit) {
         val fence = Condition(Keys.LEAD, term.leadVersion)
-        val conditions = listOf(fence) + e.changes.filterIsInstance<Change.JobOver>().map { Condition(Keys.job(it.job), it.version) }
-        var outcome = state.commit(conditions, e.changes.flatMap { writes(it) })
-        if (outcome == CommitOutcome.REFUSED) outcome = explain(e.changes)
-        if (outcome != CommitOutcome.APPLIED) delay(RETRY_MS)
+        val outcome = when (val written = state.commit(listOf(fence) + e.changes.mapNotNull(::condition), e.changes.flatMap(::writes))) {
+            is WriteOutcome.Applied -> CommitOutcome.Applied(written.revision)
+            WriteOutcome.Refused -> explain(e.changes)
+            WriteOutcome.Unknown -> e.changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
+        }
+        if (outcome is CommitOutcome.Failed) delay(RETRY_MS)
         holder.committed(e.id, outcome, clock.steady())
         settle()
     }
 
+    private fun condition(change: Change): Condition? = when (change) {
+        is Change.Page -> Condition(Keys.page(change.record.page), change.record.version)
+        is Change.JobOver -> Condition(Keys.job(change.job), change.version)
+        is Change.Hints -> null
+    }
+
     private fun writes(change: Change): List<Write> = when (change) {
-        is Change.MachineTasks -> listOf(Write(Keys.machine(change.record.name), StateCodec.machine(change.record)))
-        is Change.MachineGone -> listOf(Write(Keys.machine(change.machine), null))
-        is Change.TasksDone -> listOf(Write(Keys.doneTasks(change.job, change.chunk), Json.obj().put("bits", change.bits)))
+        is Change.Page -> listOf(Write(Keys.page(change.record.page), StateCodec.page(change.record, change.write)))
+        is Change.Hints -> listOf(Write(Keys.hints(change.page), StateCodec.hints(change.machines)))
         is Change.JobOver -> {
             val job = checkNotNull(holder.state.job(change.job))
             val stage = if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
@@ -171,24 +179,41 @@
         }
     }
 
+    /** Whether a page has been written after all; a later writing needs its version, so this goes on until it is known. */
+    private suspend fun readPage(change: Change): CommitOutcome? {
+        if (change !is Change.Page) return null
+        while (true) {
+            try {
+                val entry = state.get(Keys.page(change.record.page))
+                val applied = StateCodec.pageWrite(entry.value) == change.write
+                return if (applied) CommitOutcome.Applied(entry.version) else CommitOutcome.Failed(entry.version)
+            } catch (e: IOException) {
+                log.debug("reading a page: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
     /** A refusal means a lost term, or that an earlier try of the same write was applied after all. */
     private suspend fun explain(changes: List<Change>): CommitOutcome =
         try {
             val overs = changes.filterIsInstance<Change.JobOver>()
+            val page = changes.firstOrNull { it is Change.Page }
             when {
                 state.get(Keys.LEAD).version != term.leadVersion -> {
                     lost("the term was taken")
-                    CommitOutcome.UNKNOWN
+                    CommitOutcome.Failed()
                 }
-                overs.isNotEmpty() && overs.all { isOver(it) } -> CommitOutcome.APPLIED
+                page != null -> checkNotNull(readPage(page))
+                overs.isNotEmpty() && overs.all { isOver(it) } -> CommitOutcome.Applied(0)
                 else -> {
                     lost("a record differs from what this term wrote")
-                    CommitOutcome.UNKNOWN
+                    CommitOutcome.Failed()
                 }
             }
         } catch (e: IOException) {
             log.debug("reading after a refusal: {}", e.message)
-            CommitOutcome.UNKNOWN
+            changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
         }
 
     private suspend fun isOver(change: Change.JobOver): Boolean {
@@ -197,7 +222,7 @@
     }
 
     private suspend fun send(e: Effect.Send) {
-        val client = workers.getOrPut(e.address) { HttpClient(loop, e.address, keep = 1, bodyLimit = 256 * 1024) }
+        val client = HttpClient(workers, e.address, bodyLimit = 256 * 1024)
         try {
             val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS)
             when (r.status) {
--- a/src/main/kotlin/org/honeyjunction/app/Keys.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Keys.kt
@@ -12,14 +12,14 @@
     const val TYPES = "types"
     const val JOBS = "j/"
     const val FINAL = "f/"
-    const val DONE_TASKS = "t/"
-    const val MACHINES = "m/"
+    const val PAGES = "l/"
+    const val HINTS = "h/"
 
     fun job(id: String) = "$JOBS$id"
 
     fun final(id: String) = "$FINAL$id"
 
-    fun doneTasks(job: String, chunk: Int) = "$DONE_TASKS$job/$chunk"
+    fun page(number: Int) = "$PAGES$number"
 
-    fun machine(name: String) = "$MACHINES$name"
+    fun hints(number: Int) = "$HINTS$number"
 }
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -1,10 +1,9 @@
 package org.honeyjunction.app
 
-import com.fasterxml.jackson.databind.JsonNode
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.control.Holder
-import org.honeyjunction.core.control.MachineRecord
+import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.Tuning
@@ -19,6 +18,7 @@
 import org.honeyjunction.io.StateClient
 import org.honeyjunction.io.socketAddress
 import org.honeyjunction.wire.CloudCodec
+import org.honeyjunction.wire.Entry
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.MalformedException
@@ -64,7 +64,8 @@
 
     fun start() {
         PeerServer(loop, ::answerPeer).listen(socketAddress(settings.peerListen))
-        HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), ::answer).listen(socketAddress(settings.listen))
+        HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), mayClose = { it.path == HELLO }, ::answer)
+            .listen(socketAddress(settings.listen))
         loop.scope.launch { keepTypes() }
         loop.scope.launch { takePart() }
         loop.scope.launch { placeOwn() }
@@ -73,7 +74,7 @@
 
     private suspend fun answer(r: Request): Response = when (r.path) {
         "/up" -> if (r.method == "GET") up() else Response(405)
-        "/hello" -> if (r.method == "POST") hello(r) else Response(405)
+        HELLO -> if (r.method == "POST") hello(r) else Response(405)
         else -> users.handle(r)
     }
 
@@ -166,6 +167,11 @@
             log.warn("term {}: can't read what was stored: {}", term.number, e.message)
             election.resign(term)
             return
+        } catch (e: MalformedException) {
+            // A page that can't be read may name a running task: without it nothing can be started safely.
+            log.error("term {}: {}", term.number, e.message)
+            election.resign(term)
+            return
         }
         val holder = Holder(
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
@@ -191,22 +197,19 @@
 
     private suspend fun recover(): Pair<Recovered, Long> {
         val (jobs, revision) = state.scan(Keys.JOBS)
-        val (done, _) = state.scan(Keys.DONE_TASKS)
-        val (machines, _) = state.scan(Keys.MACHINES)
-        val records = machines.mapNotNull { e -> readable { machineRecord(e.key, e.value) } }
+        val pages = state.scan(Keys.PAGES).first.mapNotNull(::page)
+        val hints = state.scan(Keys.HINTS).first.flatMap { e -> readable { e.value?.let(StateCodec::hints) }.orEmpty() }
         val stored = jobs.mapNotNullTo(ArrayList()) { e -> e.value?.let { v -> readable { JobCodec.stored(v, e.version) } } }
         // Tasks of finished and cancelled jobs may still be on a machine, and count for their team.
-        val missing = records.flatMap { r -> r.tasks.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
+        val missing = pages.flatMap { p -> p.starts.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
         missing.mapNotNullTo(stored) { finalJob(it) }
-        val chunks = done.mapNotNull { e ->
-            val (id, chunk) = e.key.removePrefix(Keys.DONE_TASKS).split('/')
-            e.value?.get("bits")?.binaryValue()?.let { Triple(id, chunk.toInt(), it) }
-        }
-        return Recovered(stored, chunks, records) to revision
+        return Recovered(stored, pages, hints) to revision
     }
 
-    private fun machineRecord(key: String, value: JsonNode?): MachineRecord? =
-        value?.let { StateCodec.machine(key.removePrefix(Keys.MACHINES), it) }
+    private fun page(e: Entry): PageRecord? {
+        val number = e.key.removePrefix(Keys.PAGES).toIntOrNull() ?: return null
+        return e.value?.let { StateCodec.page(number, e.version, it) }
+    }
 
     private suspend fun finalJob(id: String): StoredJob? {
         val e = state.get(Keys.final(id))
@@ -311,6 +314,7 @@
     }
 
     private companion object {
+        const val HELLO = "/hello"
         const val LOOK_MS = 400L
         const val SILENT_MS = 3_000L
         const val TYPES_MS = 30_000L
--- a/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.io.Connections
 import org.honeyjunction.io.HttpClient
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.Json
@@ -18,7 +19,7 @@
         Node(settings, Tuning(), loop).start()
         runBlocking {
             withTimeoutOrNull(3_000) {
-                loop.scope.launch { ask(HttpClient(loop, settings.listen)) }.join()
+                loop.scope.launch { ask(HttpClient(Connections(loop, most = 1), settings.listen)) }.join()
             }
         }
         0
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -45,6 +45,7 @@
             val workers = part(params, "workers")
             val state = part(params, "state")
             val cloud = part(params, "cloud")
+            val sockets = params.given("machine_limits")?.amountOrNull("max_sockets")?.toInt() ?: DEFAULT_SOCKETS
             val peers = o.listOrEmpty("seeds").map { Peer(it.text("host_name"), address(it, "address")) }
             return Settings(
                 o.text("host_name"), address(o, "api_addr"), address(o, "peer_listen"), peers,
@@ -54,7 +55,9 @@
                     params.list("teams").map(::team),
                     leaseMs = millis(workers, "lease_s"), reportMs = millis(workers, "report_s"),
                     cancelMs = millis(workers, "cancel_s"),
-                    recordTasks = (state.amount("value_kb") * 1024 / RECORD_TASK_BYTES).toInt().coerceAtLeast(1),
+                    pageBytes = (minOf(state.amount("value_kb") * 1024, MAX_PAGE_BYTES) * PAGE_FILL).toInt(),
+                    pageGapMs = (1000 / (positive(state, "write_rps") * PAGE_SHARE)).toLong().coerceAtLeast(MIN_PAGE_GAP_MS),
+                    maxSends = (sockets * SENDS_SHARE).toInt().coerceAtLeast(1),
                     startWithinS = params.listOrEmpty("objectives").filter { it.textOrNull("kind") == "wait" }
                         .associate { it.text("class") to it.amount("within_s") },
                 ),
@@ -63,7 +66,7 @@
                     peers.size + 1,
                 ),
                 positive(cloud, "rps"), millis(cloud, "list_lag_s"),
-                params.given("machine_limits")?.amountOrNull("max_sockets")?.toInt() ?: DEFAULT_SOCKETS,
+                sockets,
             )
         }
 
@@ -91,7 +94,15 @@
 
         private const val DEFAULT_SOCKETS = 1000
 
-        /** A task's entry in a machine's record, generously. */
-        private const val RECORD_TASK_BYTES = 72
+        /** Larger pages would only cost more to write again. */
+        private const val MAX_PAGE_BYTES = 8192.0
+        private const val PAGE_FILL = 0.9
+
+        /** The ledger's part of the changes that the state service allows. */
+        private const val PAGE_SHARE = 0.4
+        private const val MIN_PAGE_GAP_MS = 50L
+
+        /** Command messages on their way, as a part of all sockets. */
+        private const val SENDS_SHARE = 0.1
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -2,13 +2,13 @@
 
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Verdict
 import org.honeyjunction.core.model.judge
+import org.honeyjunction.io.WriteOutcome
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.JobCodec
@@ -62,9 +62,9 @@
         val record = JobCodec.record(spec, node.settings.node, node.clock.wall(), JobStage.ACTIVE)
         val conditions = listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0))
         return when (node.state.commit(conditions, listOf(Write(Keys.job(spec.id), record)))) {
-            CommitOutcome.APPLIED -> accepted(201, spec, JobStatus(JobStage.ACTIVE, 0, 0))
-            CommitOutcome.REFUSED -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: later()
-            CommitOutcome.UNKNOWN -> later()
+            is WriteOutcome.Applied -> accepted(201, spec, JobStatus(JobStage.ACTIVE, 0, 0))
+            WriteOutcome.Refused -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: later()
+            WriteOutcome.Unknown -> later()
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -21,13 +21,25 @@
     val stage: JobStage,
 )
 
-/** What the term holder knows: jobs, machines, and which task is, or might be, where. */
+/** What the term holder knows: jobs, machines, and which task is, or might be, where. Totals are kept here alone. */
 class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long) {
-    val jobs = ArrayList<Job>()
+    private val jobSlots = ArrayList<Job?>()
     private val jobIndex = Names()
     val active = LinkedHashMap<String, Job>()
-    val machines = ArrayList<Machine>()
+    private val machineSlots = ArrayList<Machine?>()
     private val machineIndex = Names()
+    private val machineSet = LinkedHashSet<Machine>()
+    private val parted = ArrayDeque<Parted>()
+    private val usage = Array(cluster.teams.size) { Resources.NONE }
+    private val running = IntArray(cluster.teams.size)
+
+    /** Tasks of the active jobs. */
+    var activeTasks = 0
+        private set
+
+    /** Machines on which something may have to be sent since the last flush. */
+    val touched = LinkedHashSet<Machine>()
+
     val effects = ArrayList<Effect>()
     private val commits = HashMap<Long, (CommitOutcome) -> Unit>()
     private var sequence = 0L
@@ -37,14 +49,22 @@
 
     val termToken = term shl SEQUENCE_BITS
 
+    /** What has left the state but is remembered for a while, against late words of it. */
+    private class Parted(val at: Long, val forget: () -> Boolean)
+
     /** Term and sequence together are never used twice: attempts, messages and rental names are made of them. */
     fun nextSequence(): Long = (term shl SEQUENCE_BITS) or ++sequence
 
-    fun job(id: String): Job? = jobIndex.find(id).takeIf { it != Names.ABSENT }?.let(jobs::get)
+    /** All machines but those that are gone. */
+    val machines: Collection<Machine> get() = machineSet
 
-    fun machine(name: String): Machine? = machineIndex.find(name).takeIf { it != Names.ABSENT }?.let(machines::get)
+    fun job(id: String): Job? = jobAt(jobIndex.find(id))
 
-    val liveMachines: List<Machine> get() = machines.filter { it.phase != MachinePhase.GONE }
+    fun jobAt(index: Int): Job? = jobSlots.getOrNull(index)
+
+    fun machine(name: String): Machine? = machineAt(machineIndex.find(name))
+
+    fun machineAt(index: Int): Machine? = machineSlots.getOrNull(index)
 
     fun addJob(stored: StoredJob, now: Long, wallNow: Long): Job {
         job(stored.spec.id)?.let { return it }
@@ -55,18 +75,62 @@
         )
         job.version = stored.version
         job.enter(stored.stage)
-        jobs += job
-        if (stored.stage == JobStage.ACTIVE) active[stored.spec.id] = job
+        jobSlots += job
+        if (stored.stage == JobStage.ACTIVE) {
+            active[stored.spec.id] = job
+            activeTasks += job.spec.tasks
+        } else {
+            part(job, now)
+        }
         return job
     }
 
+    fun over(job: Job, now: Long) {
+        if (active.remove(job.spec.id) == null) return
+        activeTasks -= job.spec.tasks
+        part(job, now)
+    }
+
+    /** A job that is over is answered from its final record once nothing of it can be anywhere any more. */
+    private fun part(job: Job, now: Long) {
+        parted += Parted(now) {
+            if (job.placements.isEmpty()) {
+                jobSlots[job.index] = null
+                jobIndex.forget(job.spec.id)
+            }
+            job.placements.isEmpty()
+        }
+    }
+
     fun addMachine(name: String, now: Long): Machine =
         machine(name) ?: Machine(machineIndex.index(name), name).also {
             it.token = termToken
             it.knownSince = now
-            machines += it
+            machineSlots += it
+            machineSet += it
         }
 
+    fun gone(machine: Machine, now: Long) {
+        machine.placements.values.toList().forEach { remove(it, now) }
+        machine.enter(MachinePhase.GONE)
+        machine.images.clear()
+        machineSet -= machine
+        touched -= machine
+        // The name is kept for a while: old lists and late reports must not make it a machine again.
+        parted += Parted(now) {
+            machineSlots[machine.index] = null
+            machineIndex.forget(machine.name)
+            true
+        }
+    }
+
+    fun forgetParted(now: Long) {
+        while (parted.isNotEmpty() && now - parted.first().at > REMEMBER_MS) {
+            val first = parted.removeFirst()
+            if (!first.forget()) parted += Parted(now, first.forget)
+        }
+    }
+
     fun describe(machine: Machine, address: String?, type: String, zone: String, spot: Boolean) {
         if (address != null) machine.address = address
         machine.type = cluster.typeNames.index(type)
@@ -76,33 +140,51 @@
 
     fun place(task: Task, machine: Machine, attempt: Long, phase: Phase, now: Long): Placement {
         val placement = Placement(task, machine, attempt, phase, now)
-        machine.placements.put(task.id, placement)?.let { task.placements.remove(it) }
-        task.placements += placement
+        machine.placements[task.id]?.let { unlink(it) }
+        machine.placements[task.id] = placement
+        task.job.add(placement)
+        count(placement, 1)
         machine.idleSince = Long.MIN_VALUE
+        touched += machine
         cluster.types[machine.type]?.let { machine.noteImage(task.job.image, task.job.spec.imageGb, it.cacheGb) }
         return placement
     }
 
     /** The task is not there any more (or never was); the caller has the evidence. */
     fun remove(placement: Placement, now: Long) {
+        if (placement.gone) return
         val machine = placement.machine
-        if (machine.placements[placement.task.id] === placement) machine.placements.remove(placement.task.id)
+        unlink(placement)
         // A fetch that nobody waits for is given up.
         if (placement.phase <= Phase.FETCHING && machine.placements.values.none { it.task.job.image == placement.task.job.image }) {
             machine.images.remove(placement.task.job.image)
         }
-        placement.task.placements.remove(placement)
         placement.task.waitingSince = now
+        touched += machine
         if (machine.placements.isEmpty()) machine.idleSince = now
     }
 
-    fun usage(team: Int): Resources =
-        liveMachines.fold(Resources.NONE) { sum, m ->
-            m.placements.values.fold(sum) { s, p -> if (p.task.job.team == team) s + p.task.job.spec.need else s }
-        }
+    private fun unlink(placement: Placement) {
+        placement.gone = true
+        placement.machine.placements.remove(placement.task.id, placement)
+        placement.task.job.remove(placement)
+        count(placement, -1)
+    }
+
+    private fun count(placement: Placement, sign: Int) {
+        val team = placement.task.job.team
+        placement.machine.recount()
+        running[team] += sign
+        val need = placement.task.job.spec.need
+        usage[team] = if (running[team] == 0) Resources.NONE else if (sign > 0) usage[team] + need else usage[team] - need
+    }
+
+    fun usage(team: Int): Resources = usage[team]
+
+    fun running(team: Int): Int = running[team]
 
     fun room(machine: Machine): Resources =
-        (cluster.types[machine.type]?.size ?: Resources.NONE) - machine.used()
+        (cluster.types[machine.type]?.size ?: Resources.NONE) - machine.used
 
     fun commit(changes: List<Change>, then: (CommitOutcome) -> Unit) {
         val id = nextSequence()
@@ -117,5 +199,7 @@
     companion object {
         /** The low bits of tokens and attempts; the high ones are the term. */
         const val SEQUENCE_BITS = 24
+
+        private const val REMEMBER_MS = 600_000L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Consolidation.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Consolidation.kt
@@ -18,7 +18,7 @@
         nextAt = now + PERIOD_MS
         if (state.machines.any { m -> m.phase == MachinePhase.DRAINING || m.placements.values.any { it.stopping || !it.phase.reported } }) return
         val machine = state.machines.filter { movable(it, now) }
-            .sortedBy { it.used().gpus + it.used().cpus / 1000 }
+            .sortedBy { it.used.gpus + it.used.cpus / 1000 }
             .firstOrNull { placesElsewhere(it) && fleet.canSpare(it, now) } ?: return
         machine.enter(MachinePhase.DRAINING)
         machine.placements.values.toList().forEach { it.task.yieldPlace() }
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.core.capacity.Offer
 import org.honeyjunction.core.capacity.Plan
 import org.honeyjunction.core.capacity.Planner
+import org.honeyjunction.core.capacity.Wanted
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
@@ -33,13 +34,12 @@
     /** Leases run out, machines that never come up, losses that the cloud's list shows. */
     fun watch(now: Long) {
         for (m in state.machines) {
-            if (m.phase == MachinePhase.GONE) continue
             expire(m, now)
             val type = state.cluster.types[m.type]
             val bootMs = (type?.bootS ?: DEFAULT_BOOT_S) * 1000
             val giveUp = when (m.phase) {
                 MachinePhase.BOOTING ->
-                    if (m.registered) !deaf(now) && now - m.knownSince > unheardMs
+                    if (m.recovered) !deaf(now) && now - m.knownSince > unheardMs
                     else now - m.knownSince > (bootMs * BOOT_PATIENCE).toLong() + listLagMs
                 MachinePhase.LOST -> !deaf(now)
                 MachinePhase.DRAINING -> m.placements.isEmpty() || m.noticeUntil.let { it != null && now > it + state.cluster.leaseMs }
@@ -95,16 +95,10 @@
         }
         for (name in machines) {
             val m = state.machine(name) ?: continue
-            m.placements.values.toList().forEach { state.remove(it, now) }
-            m.enter(MachinePhase.GONE)
-            if (m.registered) forget(m)
+            state.gone(m, now)
         }
     }
 
-    private fun forget(m: Machine) {
-        state.commit(listOf(Change.MachineGone(m.name))) { if (it != CommitOutcome.APPLIED) forget(m) }
-    }
-
     fun listed(machines: List<Listed>, now: Long) {
         for (entry in machines) {
             listed.putIfAbsent(entry.name, now)
@@ -123,7 +117,7 @@
         listed.keys.removeIf { state.machine(it)?.phase == MachinePhase.GONE && it !in names }
         for (m in state.machines) {
             // A record of a machine that the cloud does not know: its release confirms that it is gone.
-            val silent = m.phase == MachinePhase.BOOTING && m.registered && m.name !in names
+            val silent = m.phase == MachinePhase.BOOTING && m.recovered && m.name !in names
             if (silent && now - startedAt > 3 * listLagMs) m.enter(MachinePhase.RELEASING)
         }
     }
@@ -138,7 +132,7 @@
         val bins = bins(now)
         val zones = state.machines.filter { it.phase <= MachinePhase.UP }.groupingBy { it.zone }.eachCount()
         val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
-            .plan(queue.rows(now, MAX_ROWS), expected(now), bins, zones)
+            .plan(queue.demands(now), expected(now), bins, zones)
         unmet = plan
         plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
         for (m in state.machines) {
@@ -157,9 +151,9 @@
     /** Whether nothing is expected, and all that runs and waits would do without [machine] and nothing in its place. */
     fun canSpare(machine: Machine, now: Long): Boolean {
         if (expected(now).isNotEmpty() || rentals.isNotEmpty() || state.machines.any { it.phase == MachinePhase.BOOTING }) return false
-        val rows = queue.rows(now, MAX_ROWS) + machine.placements.values.map { queue.row(it.task, now) }
+        val wanted = queue.demands(now) + machine.placements.values.map { Wanted(queue.row(it.task, now), 1) }
         val plan = Planner(state.cluster.types) { false }
-            .plan(rows, emptyList(), bins(now).filter { it.machine != machine.index }, emptyMap())
+            .plan(wanted, emptyList(), bins(now).filter { it.machine != machine.index }, emptyMap())
         return plan.rent.isEmpty() && plan.unmet.isEmpty()
     }
 
@@ -231,7 +225,6 @@
         const val BOOT_EXPECTED = 1.8
         const val MAX_RELEASE = 100
         const val MAX_RENT = 50
-        const val MAX_ROWS = 400
         const val RETRY_MS = 1_000L
     }
 }
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -0,0 +1,45 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.model.Machine
+import org.honeyjunction.core.model.Names
+
+/**
+ * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
+ * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
+ */
+class Hints(private val state: ClusterState) {
+    private var pages = 0
+    private var next = 0
+    private var nextAt = Long.MIN_VALUE
+    private var busy = false
+    private val written = HashMap<Int, List<MachineHint>>()
+
+    fun step(now: Long) {
+        if (busy || now < nextAt || now >= state.leaseValidUntil) return
+        nextAt = now + state.cluster.pageGapMs * GAPS
+        val known = state.machines.filter { it.usable && it.address != null && it.type != Names.ABSENT }
+        val perPage = maxOf(1, state.cluster.pageBytes / MACHINE_BYTES)
+        pages = maxOf(pages, (known.size + perPage - 1) / perPage)
+        if (pages == 0) return
+        val page = next++ % pages
+        val machines = known.drop(page * perPage).take(perPage).map(::hint)
+        if (written[page] == machines) return
+        busy = true
+        state.commit(listOf(Change.Hints(page, machines))) { outcome ->
+            busy = false
+            if (outcome is CommitOutcome.Applied) written[page] = machines
+        }
+    }
+
+    private fun hint(m: Machine) = MachineHint(
+        m.name, m.address, state.cluster.typeNames.name(m.type), state.cluster.zones.name(m.zone), m.spot, m.session,
+        m.images.entries.toList().takeLast(MAX_IMAGES).associate { (image, gb) -> state.cluster.images.name(image) to gb },
+    )
+
+    private companion object {
+        /** A page of hints for so many pages of the ledger at most. */
+        const val GAPS = 4
+        const val MACHINE_BYTES = 300
+        const val MAX_IMAGES = 8
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -5,6 +5,7 @@
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
@@ -14,11 +15,7 @@
 class JobStatus(val stage: JobStage, val done: Int, val running: Int)
 
 /** What the state service knew when the term began. */
-class Recovered(
-    val jobs: List<StoredJob>,
-    val doneChunks: List<Triple<String, Int, ByteArray>>,
-    val machines: List<MachineRecord>,
-)
+class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>)
 
 /**
  * The holder of a term: the machine controller of all machines. Events and the time go in, effects come out; it does
@@ -35,9 +32,11 @@
     listLagMs: Long,
 ) {
     val state = ClusterState(cluster, tuning, term)
-    private val lifecycle = Lifecycle(state)
+    private val ledger = Ledger(state)
+    private val lifecycle = Lifecycle(state, ledger)
     private val reports = Reports(state, lifecycle)
-    private val starts = Starts(state)
+    private val starts = Starts(state, ledger)
+    private val hints = Hints(state)
     private val queue = Queue(state)
     private val fleet = Fleet(state, queue, startedAt, listLagMs)
     private val round = Round(tuning.cost)
@@ -51,26 +50,35 @@
 
     init {
         recovered.jobs.forEach { state.addJob(it, startedAt, wallNow) }
-        recovered.doneChunks.forEach { (id, chunk, bits) -> state.job(id)?.let { lifecycle.restore(it, chunk, bits) } }
         recovered.machines.forEach { recover(it, startedAt) }
+        // All results first: what is done need not be looked for on any machine.
+        val results = recovered.pages.associateWith { page -> page.done.flatMap { (id, numbers) -> tasks(id, numbers) } }
+        results.values.flatten().forEach(lifecycle::restore)
+        results.forEach { (page, done) -> ledger.restore(page.page, page.version, page.starts.mapNotNull { recover(it, startedAt) }, done) }
         state.active.values.forEach { fleet.noteArrival(it, startedAt) }
     }
 
-    private fun recover(record: MachineRecord, now: Long) {
-        val machine = state.addMachine(record.name, now)
-        state.describe(machine, record.address, record.type, record.zone, record.spot)
-        machine.registered = true
-        machine.session = record.session
+    private fun tasks(id: String, numbers: List<Int>) = state.job(id)?.tasks?.let { all -> numbers.mapNotNull(all::getOrNull) }.orEmpty()
+
+    private fun recover(hint: MachineHint, now: Long) {
+        val machine = state.addMachine(hint.name, now)
+        state.describe(machine, hint.address, hint.type, hint.zone, hint.spot)
+        machine.recovered = true
+        machine.session = hint.session
         machine.sequence = -1
-        machine.recorded = record.tasks.mapTo(HashSet()) { "${it.job}/${it.number}" }
-        for (t in record.tasks) {
-            val task = state.job(t.job)?.tasks?.getOrNull(t.number) ?: continue
-            if (task.doneDurable) continue
-            val placement = state.place(task, machine, t.attempt, Phase.UNHEARD, now)
-            if (task.job.stage != JobStage.ACTIVE) placement.askToStop(0.0)
-        }
-        machine.images.clear()
-        record.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
+        hint.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
+    }
+
+    private fun recover(start: RecordedStart, now: Long): Placement? {
+        val task = state.job(start.job)?.tasks?.getOrNull(start.number) ?: return null
+        if (task.doneDurable) return null
+        val machine = state.addMachine(start.machine, now)
+        machine.recovered = true
+        // Of two attempts on one machine the later one counts: it was started when the earlier was gone.
+        machine.placements[task.id]?.let { if (it.attempt >= start.attempt) return null }
+        val placement = state.place(task, machine, start.attempt, Phase.UNHEARD, now)
+        if (task.job.stage != JobStage.ACTIVE) placement.askToStop(0.0)
+        return placement
     }
 
     fun drain(): List<Effect> = ArrayList(state.effects).also { state.effects.clear() }
@@ -85,8 +93,7 @@
         reports.absorb(report, now)
         val machine = state.addMachine(report.machine, now)
         machine.lastAnsweredAt = now
-        lifecycle.flush()
-        starts.flush(now)
+        settle(now)
         val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }
         return HelloAnswer(machine.token, forget.map { Command.Forget(it.task, it.attempt) })
     }
@@ -124,8 +131,9 @@
     }
 
     private fun settle(now: Long) {
-        lifecycle.flush()
-        starts.flush(now)
+        lifecycle.flush(now)
+        ledger.flush(now)
+        starts.flushTouched(now)
     }
 
     fun jobSeen(stored: StoredJob, now: Long, wallNow: Long) {
@@ -137,25 +145,25 @@
         nextPlanAt = minOf(nextPlanAt, now + NEW_JOB_MS)
     }
 
-    fun cancel(id: String): JobStage? {
+    fun cancel(id: String, now: Long): JobStage? {
         val job = state.job(id) ?: return null
-        if (job.stage == JobStage.ACTIVE) lifecycle.cancel(job)
+        if (job.stage == JobStage.ACTIVE) lifecycle.cancel(job, now)
         return job.stage
     }
 
     fun status(id: String): JobStatus? = state.job(id)?.let { job ->
-        JobStatus(job.stage, job.doneCount, job.tasks.count { t -> t.placements.any { it.phase == Phase.RUNNING } })
+        JobStatus(job.stage, job.doneCount, job.placements.count { it.phase == Phase.RUNNING })
     }
 
     /** Null while the final record is on its way: it may be durable already, and others may read it. */
     fun certainStatus(id: String): JobStatus? = status(id)?.takeUnless { it.stage == JobStage.ACTIVE && state.job(id)!!.closing }
 
     /** As many unfinished tasks as memory is meant for: more must wait outside. */
-    val crowded: Boolean get() = state.active.values.sumOf { it.spec.tasks } > tuning.maxTasks
+    val crowded: Boolean get() = state.activeTasks > tuning.maxTasks
 
     /** Machines that should have reported by now, had their reports come through. */
     fun expectsReports(now: Long): Boolean =
-        now - startedAt > state.cluster.reportMs * 3 && state.liveMachines.any { it.phase == MachinePhase.UP || it.registered }
+        now - startedAt > state.cluster.reportMs * 3 && state.machines.any { it.phase == MachinePhase.UP || it.recovered }
 
     /** The rows of [peer]'s jobs; asking shows that it is alive. */
     fun summaryFor(peer: String, now: Long): Summary {
@@ -165,7 +173,7 @@
 
     fun propose(proposals: List<Proposal>, now: Long): List<Boolean> {
         val accepted = starts.accept(proposals, now)
-        starts.flush(now)
+        settle(now)
         return accepted
     }
 
@@ -196,7 +204,11 @@
             nextPreemptionAt = now + PREEMPTION_MS
             makingRoom.preempt(now)
         }
-        settle(now)
+        hints.step(now)
+        state.forgetParted(now)
+        lifecycle.flush(now)
+        ledger.flush(now)
+        starts.flush(state.machines, now)
     }
 
     private fun lapsed(job: Job, now: Long) = now - heardFrom.getOrDefault(job.owner, Long.MIN_VALUE / 2) > tuning.lapseMs
--- a/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
@@ -6,40 +6,86 @@
 import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.placement.Preemption
+import org.honeyjunction.core.placement.Room
 import org.honeyjunction.core.placement.Row
 import org.honeyjunction.core.placement.Running
 
 /** Stops tasks for others that go before them. */
 class MakingRoom(private val state: ClusterState, private val queue: Queue, private val fleet: Fleet) {
-    fun preempt(now: Long) {
-        val rows = queue.rows(now, MAX_ROWS).filter { it.waitingMs >= state.tuning.preemptAfterMs }
-        if (rows.isEmpty()) return
-        val machines = state.machines.filter { it.usable && it.type >= 0 }
-        // Room that is being vacated counts as free: it was made for one of these rows.
-        val free = HashMap<Int, Resources>()
-        for (m in machines) {
-            val leaving = m.placements.values.filter { it.stopping }.fold(Resources.NONE) { s, p -> s + p.task.job.spec.need }
-            free[m.index] = state.room(m) + leaving
+    /** A machine with its room as it will be when all that is stopping has gone, and what else runs on it. */
+    private inner class Site(val machine: Machine, now: Long) {
+        var room: Room
+        val running: MutableList<Running<Placement>>
+
+        init {
+            val (leaving, staying) = machine.placements.values.partition { it.stopping }
+            val free = leaving.fold(state.room(machine)) { sum, p -> sum + p.task.job.spec.need }
+            room = queue.room(machine, now).withFree(free)
+            running = staying.filter { it.phase.reported }.mapTo(ArrayList()) { describe(it, now) }
+        }
+
+        fun take(need: Resources) {
+            room = room.withFree(room.free - need)
         }
+    }
+
+    fun preempt(now: Long) {
+        val demands = queue.demands(now).filter { it.sample.waitingMs >= state.tuning.preemptAfterMs }
+        if (demands.isEmpty()) return
+        val sites = state.machines.filter { it.usable && it.type >= 0 }.map { Site(it, now) }
         val unmet = fleet.unmet?.unmet.orEmpty().mapTo(HashSet()) { it.job }
-        val running = machines.associate { m -> m.index to m.placements.values.filter { !it.stopping && it.phase.reported } }
-        for (row in rows) {
-            val rooms = machines.map { m -> queue.room(m, now).withFree(free.getValue(m.index)) }
-            val ready = rooms.firstOrNull { row.allows(it) }
+        var left = MAX_ROWS
+        for (d in demands) {
+            if (left <= 0) break
+            val count = if (d.sample.gangOf > 0) d.count else minOf(d.count, left)
+            left -= count
+            makeRoom(d.sample, count, sites, d.sample.job in unmet, now)
+        }
+    }
+
+    /** For all of a gang or for as many tasks as there can be; a job of one zone gets it where least is lost. */
+    private fun makeRoom(row: Row, count: Int, sites: List<Site>, unmet: Boolean, now: Long) {
+        val plans = if (!row.oneZone) listOf(plan(row, count, sites, unmet))
+        else sites.groupBy { it.room.zone }.map { (_, there) -> plan(row, count, there, unmet) }
+        val best = plans.filter { it.size == count || row.gangOf == 0 }
+            .maxWithOrNull(compareBy<List<Step>> { it.size }.thenByDescending { steps -> steps.sumOf { it.lostS } }) ?: return
+        for (step in best) {
+            val site = step.site
+            site.running.removeAll(step.victims.toSet())
+            site.room = site.room.withFree(step.victims.fold(site.room.free) { sum, v -> sum + v.need })
+            site.take(row.need)
+            if (step.victims.isEmpty()) continue
+            step.victims.forEach { it.of.task.yieldPlace() }
+            hold(site.machine, row, now)
+        }
+    }
+
+    private class Step(val site: Site, val victims: List<Running<Placement>>, val lostS: Double)
+
+    /** Free room first, then the machine that loses least, task by task. */
+    private fun plan(row: Row, count: Int, sites: List<Site>, unmet: Boolean): List<Step> {
+        val steps = ArrayList<Step>()
+        val taken = HashMap<Site, Resources>()
+        val stopped = HashSet<Running<Placement>>()
+        fun free(s: Site) = taken[s] ?: s.room.free
+        val possible = sites.filter { row.allows(it.room.type, it.room.zone, it.room.spot, it.room.floor, state.cluster.types.getValue(it.room.type).size) }
+        while (steps.size < count) {
+            val ready = possible.firstOrNull { row.need.fitsIn(free(it)) }
             if (ready != null) {
-                free[ready.machine] = ready.free - row.need
+                taken[ready] = free(ready) - row.need
+                steps += Step(ready, emptyList(), 0.0)
                 continue
             }
-            val candidates = running.mapValues { (_, there) ->
-                there.filter { !it.stopping && (row.job in unmet || cheap(row, it)) }.map { describe(it, now) }
-            }
-            val victims = Preemption.victims(row, rooms, candidates, ::fetchS)
-            if (victims.isEmpty()) continue
-            victims.forEach { it.of.task.yieldPlace() }
-            val machine = victims.first().of.machine
-            hold(machine, row, now)
-            free[machine.index] = free.getValue(machine.index) + victims.fold(Resources.NONE) { s, v -> s + v.need } - row.need
+            val best = possible.mapNotNull { site ->
+                val running = site.running.filter { it !in stopped && Preemption.mayStop(row, it) && (unmet || cheap(row, it.of)) }
+                if (running.isEmpty()) return@mapNotNull null
+                Preemption.victims(row, free(site), running)?.let { v -> Step(site, v, v.sumOf { it.lostS } + fetchS(site.machine, row)) }
+            }.minByOrNull { it.lostS } ?: break
+            steps += best
+            stopped += best.victims
+            taken[best.site] = best.victims.fold(free(best.site)) { sum, v -> sum + v.need } - row.need
         }
+        return steps
     }
 
     /** While machines can still be rented, only work that keeps its progress makes way. */
@@ -51,8 +97,7 @@
         machine.floorUntil = now + HOLD_MS
     }
 
-    private fun fetchS(machine: Int, row: Row): Double {
-        val m = state.machines[machine]
+    private fun fetchS(m: Machine, row: Row): Double {
         val rate = state.cluster.types[m.type]?.fetchGbPerS ?: return 0.0
         return if (row.image in m.images) 0.0 else row.imageGb / rate
     }
@@ -72,7 +117,7 @@
     }
 
     private companion object {
-        const val MAX_ROWS = 32
+        const val MAX_ROWS = 64
         const val HOLD_MS = 8_000L
         const val YOUNG_S = 30.0
         const val RESTART_S = 3.0
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -56,31 +56,33 @@
 
 /** One durable change; the client of the state service knows how it is written. */
 sealed interface Change {
-    data class MachineTasks(val record: MachineRecord) : Change
+    /** A page of the ledger, on condition of the version that it names; [write] tells one writing from another. */
+    data class Page(val record: PageRecord, val write: Long) : Change
 
-    data class MachineGone(val machine: String) : Change
-
-    data class TasksDone(val job: String, val chunk: Int, val bits: ByteArray) : Change
+    /** What helps a new holder but nobody relies on: where machines are and what they cache. */
+    data class Hints(val page: Int, val machines: List<MachineHint>) : Change
 
     /** Moves the record of the job at [version] to the final ones. */
     data class JobOver(val job: String, val version: Long, val cancelled: Boolean) : Change
 }
 
-data class MachineRecord(
+data class MachineHint(
     val name: String,
     val address: String?,
     val type: String,
     val zone: String,
     val spot: Boolean,
     val session: Long,
-    val tasks: List<RecordedTask>,
     /** What its cache was believed to hold, so that a new holder knows where tasks would be local. */
     val images: Map<String, Double>,
 )
 
-data class RecordedTask(val job: String, val number: Int, val attempt: Long)
+sealed interface CommitOutcome {
+    data class Applied(val version: Long) : CommitOutcome
 
-enum class CommitOutcome { APPLIED, REFUSED, UNKNOWN }
+    /** Not applied so far; perhaps it will be yet, unless a condition prevents it. [version]: of a page, as it stands. */
+    data class Failed(val version: Long? = null) : CommitOutcome
+}
 
 /** What the core asks of the world; every answer comes back as an event. */
 sealed interface Effect {
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.capacity.Wanted
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.Machine
@@ -16,43 +17,68 @@
 
 /** Turns the state into what rounds and the planner read. */
 class Queue(private val state: ClusterState) {
-    /** The waiting tasks within the teams' limits; those of [owner] only, unless it is null. */
-    fun rows(now: Long, limit: Int, owner: (Job) -> Boolean = { true }): List<Row> {
-        markGuaranteed()
+    private var markedAt = Long.MIN_VALUE
+    private var markedJobs = -1
+
+    /** The waiting tasks within the teams' limits, job by job in the order in which they are to start. */
+    fun demands(now: Long, owner: (Job) -> Boolean = { true }): List<Wanted> {
+        markGuaranteed(now)
         val left = HashMap<Int, Resources>()
-        val rows = ArrayList<Row>()
-        val ordered = state.active.values.sortedWith(
-            compareByDescending<Job> { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { it.createdAt },
-        )
-        for (job in ordered) {
-            if (!job.startable || job.notBefore > now || !owner(job)) continue
-            if (rows.size >= limit) break
-            addRows(job, now, limit, left, rows)
-        }
-        return rows
+        return state.active.values
+            .filter { !it.waiting.isEmpty && it.startable && it.notBefore <= now && owner(it) }
+            .sortedWith(compareByDescending<Job> { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { it.createdAt })
+            .mapNotNull { demand(it, now, left) }
     }
 
-    private fun addRows(job: Job, now: Long, limit: Int, left: MutableMap<Int, Resources>, rows: MutableList<Row>) {
-        var waiting = job.tasks.filter { !it.done && it.placements.isEmpty() }
+    private fun demand(job: Job, now: Long, left: MutableMap<Int, Resources>): Wanted? {
         val gang = job.spec.kind == JobKind.GANG
-        if (gang && waiting.size < job.tasks.count { !it.done }) return
-        var use = left.getOrPut(job.team) { state.usage(job.team) }
+        val waiting = job.waiting.cardinality()
+        if (gang && waiting < job.unfinished) return null
+        val use = left.getOrPut(job.team) { state.usage(job.team) }
         val team = state.cluster.teams[job.team]
-        if (gang && (!team.allows(use + job.spec.need * waiting.size) || waiting.size > limit)) return
-        if (!gang) waiting = waiting.take(limit - rows.size)
-        val types = types(job)
-        val zones = state.zonesNow(job, null) and allZones(job)
+        var count = waiting
+        if (!team.allows(use + job.spec.need * count)) {
+            if (gang) return null
+            // As many as the team's limit still allows.
+            count = most(waiting) { team.allows(use + job.spec.need * it) }
+            if (count == 0) return null
+        }
+        left[job.team] = use + job.spec.need * count
+        val task = job.tasks[job.waiting.nextSetBit(0)]
         val zoneRoom = if (job.spec.spread && job.spec.tasks > 1) state.spreadRoom(job) else null
-        for (task in waiting) {
-            if (!team.allows(use + job.spec.need)) break
-            use += job.spec.need
-            rows += Row(
-                job.index, task.number, job.team, job.spec.priority, now - task.waitingSince, job.spec.need,
-                job.image, job.spec.imageGb, zones, types, job.spec.spot, job.spec.oneZone && job.spec.tasks > 1,
-                if (gang) waiting.size else 0, job.guaranteed, zoneRoom,
-            )
+        val sample = sample(job).copy(
+            task = task.number, waitingMs = now - task.waitingSince, zones = state.zonesNow(job, null) and allZones(job),
+            oneZone = job.spec.oneZone && job.spec.tasks > 1, gangOf = if (gang) waiting else 0, guaranteed = job.guaranteed,
+            zoneRoom = zoneRoom,
+        )
+        return Wanted(sample, count)
+    }
+
+    /** The largest count up to [limit] that [fits], which holds for all smaller ones too. */
+    private inline fun most(limit: Int, fits: (Int) -> Boolean): Int {
+        var low = 0
+        var high = limit
+        while (low < high) {
+            val middle = (low + high + 1) / 2
+            if (fits(middle)) low = middle else high = middle - 1
+        }
+        return low
+    }
+
+    /** The rows of [demands], task by task, as many as [limit]; a gang that would be cut is left out. */
+    fun rows(demands: List<Wanted>, now: Long, limit: Int): List<Row> {
+        val rows = ArrayList<Row>()
+        for (d in demands) {
+            if (rows.size >= limit) break
+            if (d.sample.gangOf > limit - rows.size) continue
+            val job = state.jobAt(d.sample.job) ?: continue
+            var number = job.waiting.nextSetBit(0)
+            repeat(minOf(d.count, limit - rows.size)) {
+                rows += d.sample.copy(task = number, waitingMs = now - job.tasks[number].waitingSince)
+                number = job.waiting.nextSetBit(number + 1)
+            }
         }
-        left[job.team] = use
+        return rows
     }
 
     /** The row that [task] would be if it had to be placed elsewhere. */
@@ -74,7 +100,10 @@
         state.cluster.types.values.filter(job.spec::mayUse).fold(0L) { m, t -> m or state.cluster.zonesFor(job.spec, t) }
 
     /** A job lies within the guarantee if it fits into it together with its team's earlier unfinished jobs. */
-    private fun markGuaranteed() {
+    private fun markGuaranteed(now: Long) {
+        if (now - markedAt < MARK_MS && markedJobs == state.active.size) return
+        markedAt = now
+        markedJobs = state.active.size
         val use = HashMap<Int, Resources>()
         for (job in state.active.values.sortedBy { it.createdAt }) {
             val sum = use.getOrDefault(job.team, Resources.NONE) + job.spec.need * job.spec.tasks
@@ -83,18 +112,27 @@
         }
     }
 
+    /** For a round: waiting tasks, and the rooms that could take one of them. */
     fun summary(now: Long, limit: Int, owner: (Job) -> Boolean): Summary {
-        val rooms = state.machines.filter { it.usable && it.type >= 0 && it.address != null }.map { m ->
-            room(m, now)
-        }
-        val running = IntArray(state.cluster.teams.size)
-        state.liveMachines.forEach { m -> m.placements.values.forEach { running[it.task.job.team]++ } }
-        val teams = state.cluster.teams.mapIndexed { i, t -> TeamShare(weight(t.guarantee), running[i]) }
-        val smallest = state.active.values.map { it.spec.need }.minByOrNull { it.gpus * 1000 + it.cpus }
-        val slots = if (smallest == null) 0 else state.machines
-            .filter { it.phase == MachinePhase.UP }
-            .sumOf { m -> smallest.countIn(state.cluster.types[m.type]?.size ?: Resources.NONE).coerceAtMost(1000) }
-        return Summary(rooms.filter { it.free.fitsAnything() }, teams, slots, rows(now, limit, owner))
+        val demands = demands(now, owner)
+        if (demands.isEmpty()) return Summary(emptyList(), emptyList(), 0, emptyList())
+        val rooms = state.machines.filter { m -> m.usable && m.type >= 0 && m.address != null && hasRoom(m, demands, now) }
+            .map { room(it, now) }
+        val teams = state.cluster.teams.mapIndexed { i, t -> TeamShare(weight(t.guarantee), state.running(i)) }
+        return Summary(rooms, teams, slots(), rows(demands, now, limit))
+    }
+
+    private fun hasRoom(m: Machine, demands: List<Wanted>, now: Long): Boolean {
+        val free = state.room(m)
+        val floor = m.floorAt(now)
+        return demands.any { it.sample.allows(m.type, m.zone, m.spot, floor, free) }
+    }
+
+    /** All slots that there are, free or not, cut for the smallest task. */
+    private fun slots(): Int {
+        val smallest = state.active.values.minByOrNull { it.spec.need.gpus * 1000 + it.spec.need.cpus }?.spec?.need ?: return 0
+        val perType = state.cluster.types.mapValues { smallest.countIn(it.value.size).coerceAtMost(1000) }
+        return state.machines.sumOf { m -> if (m.phase == MachinePhase.UP) perType[m.type] ?: 0 else 0 }
     }
 
     fun room(m: Machine, now: Long) =
@@ -105,5 +143,7 @@
 
     private fun weight(r: Resources) = if (r.gpus > 0) r.gpus else r.cpus
 
-    private fun Resources.fitsAnything() = cpus > 1e-6 && memoryGb > 1e-6
+    private companion object {
+        const val MARK_MS = 400L
+    }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -12,6 +12,8 @@
     /** Returns false for a message that is older than what is known already. */
     fun absorb(report: Report, now: Long): Boolean {
         val machine = state.addMachine(report.machine, now)
+        // Held back until after the machine's release was confirmed: what it tells is over.
+        if (machine.phase == MachinePhase.GONE) return false
         state.describe(machine, report.address, report.type, report.zone, report.spot)
         if (report.session < machine.session ||
             report.session == machine.session && report.sequence <= machine.sequence
@@ -35,6 +37,7 @@
             if (provesGone(placement, report, newSession)) state.remove(placement, now)
         }
         report.tasks.forEach { takeIn(machine, it, now) }
+        state.touched += machine
         if (report.noticeS != null) notice(machine, report.noticeS, now)
         return true
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -13,7 +13,7 @@
 import org.honeyjunction.core.placement.Proposal
 
 /** Takes proposed starts through check, durable record, message and answer. */
-class Starts(private val state: ClusterState) {
+class Starts(private val state: ClusterState, private val ledger: Ledger) {
     private class Message(val machine: Machine, val starts: List<Placement>)
 
     private val sent = HashMap<Long, Message>()
@@ -23,7 +23,7 @@
         val accepted = BooleanArray(proposals.size)
         val byJob = proposals.indices.groupBy { proposals[it].job }
         for ((jobIndex, members) in byJob) {
-            val job = state.jobs.getOrNull(jobIndex) ?: continue
+            val job = state.jobAt(jobIndex) ?: continue
             if (!job.startable || job.notBefore > now) continue
             val gang = job.spec.kind == JobKind.GANG
             if (gang && !wholeGang(job, members.map { proposals[it].task })) continue
@@ -42,21 +42,20 @@
                 // One refusal stops the rest: nothing was sent yet, so the room is simply given back.
                 placed.forEach { state.remove(it, now) }
                 members.forEach { accepted[it] = false }
+            } else {
+                placed.forEach(ledger::add)
             }
         }
         return accepted.asList()
     }
 
-    private fun wholeGang(job: Job, tasks: List<Int>): Boolean {
-        val left = job.tasks.filter { !it.done }
-        return left.all { it.placements.isEmpty() } && tasks.toSet() == left.mapTo(HashSet()) { it.number }
-    }
+    private fun wholeGang(job: Job, tasks: List<Int>): Boolean =
+        job.placements.isEmpty() && tasks.size == job.unfinished && tasks.toSet().size == tasks.size
 
     private fun reserve(job: Job, proposal: Proposal, attempt: Long, now: Long): Placement? {
         val task = job.tasks.getOrNull(proposal.task) ?: return null
-        val machine = state.machines.getOrNull(proposal.machine) ?: return null
+        val machine = state.machineAt(proposal.machine) ?: return null
         if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
-        if (machine.placements.size >= state.cluster.recordTasks) return null
         if (job.spec.priority < machine.floorAt(now) || !mayRun(job, task, machine)) return null
         if (!job.spec.need.fitsIn(state.room(machine))) return null
         if (!state.cluster.teams[job.team].allows(state.usage(job.team) + job.spec.need)) return null
@@ -69,61 +68,39 @@
         return (state.zonesNow(job, task) and state.cluster.zonesFor(job.spec, type)) shr machine.zone and 1L != 0L
     }
 
-    /** Writes what is reserved into the machines' durable records, and sends what is recorded. */
-    fun flush(now: Long) {
-        for (machine in state.machines) {
-            if (machine.phase == MachinePhase.GONE) continue
-            dropStale(machine, now)
-            record(machine, now)
-        }
-        for (machine in state.machines) if (machine.phase != MachinePhase.GONE) send(machine, now)
+    /** Sends what became due on the machines that something happened to. */
+    fun flushTouched(now: Long) {
+        if (state.touched.isEmpty()) return
+        val due = state.touched.toList()
+        state.touched.clear()
+        flush(due, now)
+    }
+
+    /** Gives stale reservations back and sends what is recorded or to be stopped. */
+    fun flush(machines: Collection<Machine>, now: Long) {
+        for (machine in machines) dropStale(machine, now)
+        for (machine in machines) send(machine, now)
     }
 
     /** A reservation that could not be recorded in time, or is no longer wanted, gives its room back. */
     private fun dropStale(machine: Machine, now: Long) {
+        if (machine.placements.values.none { it.phase <= Phase.RECORDED }) return
         for (p in machine.placements.values.toList()) {
-            if (p.phase != Phase.RESERVED && p.phase != Phase.RECORDED) continue
+            if (p.phase > Phase.RECORDED || p.gone) continue
             val late = now - p.since > RESERVE_MS
             if (late || p.stopping || !p.task.job.startable || !machine.usable) {
                 val job = p.task.job
-                val concerned = if (job.spec.kind == JobKind.GANG) job.placements else listOf(p)
+                val concerned = if (job.spec.kind == JobKind.GANG) job.placements.toList() else listOf(p)
                 concerned.forEach { if (it.phase <= Phase.RECORDED) state.remove(it, now) else it.askToStop(0.0) }
             }
         }
     }
 
-    private fun record(machine: Machine, now: Long) {
-        val reserved = machine.placements.values.filter { it.phase == Phase.RESERVED }
-        if (reserved.isEmpty()) return
-        if (machine.registered && reserved.all { it.task.id in machine.recorded }) {
-            reserved.forEach { it.enter(Phase.RECORDED, now) }
-            return
-        }
-        if (machine.recordBusy) return
-        machine.recordBusy = true
-        val tasks = machine.placements.values.map { RecordedTask(it.task.job.spec.id, it.task.number, it.attempt) }
-        val record = MachineRecord(
-            machine.name, machine.address, state.cluster.typeNames.name(machine.type),
-            state.cluster.zones.name(machine.zone), machine.spot, machine.session, tasks,
-            machine.images.entries.toList().takeLast(MAX_IMAGES).associate { (i, gb) -> state.cluster.images.name(i) to gb },
-        )
-        // While the write is on its way, either record may be the durable one: neither is enough for a start.
-        val before = machine.recorded
-        val named = tasks.mapTo(HashSet()) { "${it.job}/${it.number}" }
-        machine.recorded = before intersect named
-        state.commit(listOf(Change.MachineTasks(record))) { outcome ->
-            machine.recordBusy = false
-            if (outcome == CommitOutcome.APPLIED) {
-                machine.recorded = named
-                machine.registered = true
-                reserved.forEach { if (it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, it.since) }
-            }
-        }
-    }
-
     private fun send(machine: Machine, now: Long) {
         val address = machine.address ?: return
-        if (machine.commandBusy || now < machine.nextCommandAt) return
+        if (machine.commandBusy || now < machine.nextCommandAt || machine.phase == MachinePhase.GONE) return
+        val unfenced = machine.ackedToken < state.termToken && machine.session > 0
+        if (machine.placements.isEmpty() && !unfenced || sent.size >= state.cluster.maxSends) return
         val commands = ArrayList<Command>()
         val starts = ArrayList<Placement>()
         for (p in machine.placements.values) {
@@ -136,7 +113,6 @@
                 commands += Command.Stop(p.task.id, p.attempt, p.stopGraceS)
             }
         }
-        val unfenced = machine.ackedToken < state.termToken && machine.session > 0
         if (commands.isEmpty() && !unfenced) return
         val id = state.nextSequence()
         machine.commandBusy = true
@@ -183,6 +159,7 @@
     private fun take(id: Long): Message? {
         val message = sent.remove(id) ?: return null
         message.machine.commandBusy = false
+        state.touched += message.machine
         return message
     }
 
@@ -190,26 +167,31 @@
         const val RESERVE_MS = 4_000L
         const val STOP_AGAIN_MS = 1_500L
         const val RETRY_MS = 500L
-        const val MAX_IMAGES = 16
     }
 }
 
 /** The zones, as a bit mask, that the job's other tasks leave open for [task] at this moment. */
 fun ClusterState.zonesNow(job: Job, task: Task?): Long {
+    if (!job.spec.oneZone && !job.spec.spread) return -1L
     val others = job.placements.filter { it.task !== task }
     if (job.spec.oneZone && others.isNotEmpty()) {
         // Leaving tasks keep their zone until they are gone.
-        return others.map { 1L shl it.machine.zone }.reduce { a, b -> a and b }
+        return others.map { zoneBit(it.machine) }.reduce { a, b -> a and b }
     }
     if (!job.spec.spread) return -1L
     val room = spreadRoom(job, others)
     return room.indices.fold(0L) { mask, z -> if (room[z] > 0) mask or (1L shl z) else mask }
 }
 
-/** How many more tasks of a spread job each zone may take: half of the tasks, rounded up, less what is there. */
-fun ClusterState.spreadRoom(job: Job, placements: List<Placement> = job.placements): List<Int> {
+/** A machine that only its name is known of so far may be in any zone: nothing is certain to be beside it. */
+private fun zoneBit(machine: Machine) = if (machine.zone == Names.ABSENT) 0L else 1L shl machine.zone
+
+/** How many more tasks of a spread job each zone may take: half of the tasks, rounded up, less what is or may be there. */
+fun ClusterState.spreadRoom(job: Job, placements: Collection<Placement> = job.placements): List<Int> {
     val most = (job.spec.tasks + 1) / 2
     val room = IntArray(cluster.zones.size) { most }
-    placements.forEach { if (it.machine.zone >= 0) room[it.machine.zone]-- }
+    for (p in placements) {
+        if (p.machine.zone != Names.ABSENT) room[p.machine.zone]-- else room.indices.forEach { room[it]-- }
+    }
     return room.asList()
 }
--- a/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
@@ -57,8 +57,11 @@
     val leaseMs: Long,
     val reportMs: Long,
     val cancelMs: Long,
-    /** How many tasks a machine's durable record has room for. */
-    val recordTasks: Int,
+    /** Bytes that a page of the ledger may have, and the least time between two of its writes. */
+    val pageBytes: Int = 3_600,
+    val pageGapMs: Long = 100,
+    /** How many command messages may be on their way at once. */
+    val maxSends: Int = 128,
     /** Classes whose tasks are to start within so many seconds. */
     val startWithinS: Map<String, Double> = emptyMap(),
 ) {
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.model
 
+import java.util.BitSet
+
 enum class JobKind { ARRAY, GANG, SERVICE }
 
 enum class Priority { LOW, NORMAL, HIGH, PRODUCTION }
@@ -53,6 +55,13 @@
     var version = 0L
     val tasks = Array(spec.tasks) { Task(this, it) }
     var doneCount = 0
+        private set
+
+    /** Tasks that are neither done nor, as far as is known, on any machine. */
+    val waiting = BitSet(spec.tasks).apply { set(0, spec.tasks) }
+
+    /** Where the job's tasks are or might be, kept in step with [Task.placements]. */
+    val placements = LinkedHashSet<Placement>()
     var notBefore = 0L
 
     /** Machines on which a task of the job failed. */
@@ -61,7 +70,6 @@
 
     /** The final record is being written; nothing of the job may be started any more. */
     var closing = false
-    var cancelRequested = false
 
     /** Whether it fits into its team's guarantee together with the team's earlier jobs; computed anew every round. */
     var guaranteed = false
@@ -72,16 +80,37 @@
         stage = next
     }
 
-    val placements: List<Placement> get() = tasks.flatMap { it.placements }
-
     val startable get() = stage == JobStage.ACTIVE && !closing
+
+    val unfinished get() = tasks.size - doneCount
+
+    fun add(placement: Placement) {
+        placement.task.placements += placement
+        placements += placement
+        waiting.clear(placement.task.number)
+    }
+
+    fun remove(placement: Placement) {
+        placement.task.placements -= placement
+        placements -= placement
+        if (!placement.task.done && placement.task.placements.isEmpty()) waiting.set(placement.task.number)
+    }
+
+    /** Returns false for a task that was done already. */
+    fun finish(task: Task): Boolean {
+        if (task.done) return false
+        task.done = true
+        doneCount++
+        waiting.clear(task.number)
+        return true
+    }
 }
 
 class Task(val job: Job, val number: Int) {
     /** Every machine on which the task is or might be. Empty is the only state from which it may be started. */
     val placements = ArrayList<Placement>(0)
 
-    /** The worker said so. */
+    /** The worker said so; set by [Job.finish]. */
     var done = false
 
     /** The state service has it. Only then is the attempt reaped. */
@@ -124,6 +153,9 @@
     var stopping = false
     var stopSentAt = 0L
 
+    /** Removed on evidence: the task is not on the machine any more, or never was. */
+    var gone = false
+
     /** The only way a phase changes. A reported phase never falls back to an unreported one. */
     fun enter(next: Phase, now: Long) {
         check(next > phase || next.reported) { "${task.id}: $phase -> $next" }
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -38,12 +38,8 @@
     var idleSince = Long.MIN_VALUE
     var noticeUntil: Long? = null
 
-    /** The durable record: its tasks are a superset of what may be on the machine. */
-    var recorded: Set<String> = emptySet()
-    var registered = false
-    var recordBusy = false
-    var releaseDueAt = 0L
-    var listedSince: Long? = null
+    /** Known from what an earlier holder left: it may have tasks, though nobody has listed or heard it yet. */
+    var recovered = false
 
     /** One command message at a time, so that their order is the order in which they were decided. */
     var commandBusy = false
@@ -68,7 +64,13 @@
         phase = next
     }
 
-    fun used(): Resources = placements.values.fold(Resources.NONE) { sum, p -> sum + p.task.job.spec.need }
+    /** What the placements take; summed anew at each change, so that no rounding builds up. */
+    var used = Resources.NONE
+        private set
+
+    fun recount() {
+        used = placements.values.fold(Resources.NONE) { sum, p -> sum + p.task.job.spec.need }
+    }
 
     /** Notes that [image] is (being) cached and drops what the cache cannot hold any more. */
     fun noteImage(image: Int, gb: Double, cacheGb: Double) {
--- a/src/main/kotlin/org/honeyjunction/core/model/Names.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Names.kt
@@ -19,6 +19,11 @@
 
     fun find(name: String): Int = indices.getValue(name)
 
+    /** The name may come again, with another index. */
+    fun forget(name: String) {
+        indices.remove(name)
+    }
+
     fun name(index: Int): String = names[index]
 
     companion object {
--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -24,13 +24,17 @@
 
     /** As many slots per machine as the smallest task that may use it fits in, each of them a column. */
     fun slots(rows: List<Row>): List<Slot> {
+        // Tasks of a job are alike: one row of each says how many fit.
+        val samples = rows.distinctBy { it.job }
         val all = summary.rooms.flatMap { room ->
-            val fits = rows.asSequence().filter { it.allows(room) }.maxOfOrNull { it.need.countIn(room.free) } ?: 0
+            val fits = samples.filter { it.allows(room) }.maxOfOrNull { it.need.countIn(room.free) } ?: 0
             List(min(fits, rows.size)) { Slot(room, it) }
         }
-        // First the first slot of every machine, so that the bound leaves no machine out.
         if (all.size <= settings.maxColumns) return all
-        return all.sortedBy { it.place }.take(settings.maxColumns).sortedBy { it.room.machine }
+        // Of too many, those where an image is at hand, then the first slot of every machine; what is cut comes in later passes.
+        val images = rows.mapTo(HashSet()) { it.image }
+        return all.sortedWith(compareBy<Slot> { slot -> slot.room.images.none { it in images } }.thenBy { it.place })
+            .take(settings.maxColumns).sortedBy { it.room.machine }
     }
 
     /** The rows in the order of priority, guarantee, group cost and age. */
--- a/src/main/kotlin/org/honeyjunction/core/placement/Preemption.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Preemption.kt
@@ -19,29 +19,15 @@
     fun <T> mayStop(row: Row, victim: Running<T>): Boolean =
         victim.priority < row.priority || row.guaranteed && victim.team != row.team && !victim.guaranteed
 
-    /**
-     * The victims on the one machine where stopping them loses least, together with the wait that [delayS] tells; none
-     * if no machine could be freed.
-     */
-    fun <T> victims(
-        row: Row,
-        rooms: List<Room>,
-        running: Map<Int, List<Running<T>>>,
-        delayS: (Int, Row) -> Double = { _, _ -> 0.0 },
-    ): List<Running<T>> =
-        rooms.mapNotNull { room -> onMachine(row, room, running[room.machine].orEmpty()) }
-            .minByOrNull { chosen -> chosen.sumOf { it.lostS } + delayS(chosen.first().machine, row) }
-            .orEmpty()
-
-    private fun <T> onMachine(row: Row, room: Room, running: List<Running<T>>): List<Running<T>>? {
-        var free = room.free
+    /** The victims among [running] that make [free] enough for [row]; null if all of them together do not. */
+    fun <T> victims(row: Row, free: Resources, running: List<Running<T>>): List<Running<T>>? {
+        var room = free
         val chosen = ArrayList<Running<T>>()
-        val candidates = running.filter { mayStop(row, it) }.sortedWith(compareBy({ it.priority }, { it.lostS }))
-        for (victim in candidates) {
-            if (row.need.fitsIn(free)) break
+        for (victim in running.filter { mayStop(row, it) }.sortedWith(compareBy({ it.priority }, { it.lostS }))) {
+            if (row.need.fitsIn(room)) break
             chosen += victim
-            free += victim.need
+            room += victim.need
         }
-        return chosen.takeIf { it.isNotEmpty() && row.allows(room.withFree(free)) }
+        return chosen.takeIf { row.need.fitsIn(room) }
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -41,9 +41,11 @@
     /** How many more of the job's tasks each zone may take; null where nothing bounds them. */
     val zoneRoom: List<Int>? = null,
 ) {
-    fun allows(room: Room): Boolean =
-        (zones shr room.zone) and 1L != 0L && (types shr room.type) and 1L != 0L &&
-            (spot || !room.spot) && priority >= room.floor && need.fitsIn(room.free)
+    fun allows(room: Room): Boolean = allows(room.type, room.zone, room.spot, room.floor, room.free)
+
+    fun allows(type: Int, zone: Int, spotMachine: Boolean, floor: Priority, free: Resources): Boolean =
+        (zones shr zone) and 1L != 0L && (types shr type) and 1L != 0L &&
+            (spot || !spotMachine) && priority >= floor && need.fitsIn(free)
 }
 
 /** The holder's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/io/Connections.kt
@@ -0,0 +1,54 @@
+package org.honeyjunction.io
+
+import java.net.StandardSocketOptions
+import java.nio.channels.AsynchronousSocketChannel
+
+/** Connections that are kept for the next request, [most] in all and [perAddress] to each; the longest unused make way. */
+class Connections(private val loop: Loop, private val most: Int, private val perAddress: Int = most) {
+    private class Idle(val address: String, val channel: AsynchronousSocketChannel)
+
+    private val idle = LinkedHashSet<Idle>()
+    private val byAddress = HashMap<String, ArrayDeque<Idle>>()
+
+    suspend fun take(address: String): AsynchronousSocketChannel {
+        val kept = byAddress[address]?.lastOrNull() ?: return connect(address)
+        drop(kept)
+        return kept.channel
+    }
+
+    fun keep(address: String, channel: AsynchronousSocketChannel) {
+        val there = byAddress.getOrPut(address, ::ArrayDeque)
+        if (there.size >= perAddress) return quietly { channel.close() }
+        val entry = Idle(address, channel)
+        there.addLast(entry)
+        idle += entry
+        if (idle.size > most) close(idle.first())
+    }
+
+    fun closeAll() = idle.toList().forEach(::close)
+
+    private fun close(entry: Idle) {
+        drop(entry)
+        quietly { entry.channel.close() }
+    }
+
+    private fun drop(entry: Idle) {
+        idle -= entry
+        val there = byAddress.getValue(entry.address)
+        there -= entry
+        if (there.isEmpty()) byAddress -= entry.address
+    }
+
+    private suspend fun connect(address: String): AsynchronousSocketChannel {
+        val channel = AsynchronousSocketChannel.open(loop.group)
+        var connected = false
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            channel.awaitConnect(socketAddress(address))
+            connected = true
+            return channel
+        } finally {
+            if (!connected) quietly { channel.close() }
+        }
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
@@ -9,18 +9,15 @@
 import org.honeyjunction.wire.Request
 import org.honeyjunction.wire.Response
 import java.io.IOException
-import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousSocketChannel
 
 /** No answer: the request may have been executed, or may yet be. */
 class NoAnswerException(message: String, cause: Throwable? = null) : IOException(message, cause)
 
-/** Sends requests to one address over connections that it keeps for the next ones. */
-class HttpClient(private val loop: Loop, private val address: String, private val keep: Int = 4, bodyLimit: Int = 4 * 1024 * 1024) {
+/** Sends requests to one address. */
+class HttpClient(private val connections: Connections, private val address: String, bodyLimit: Int = 4 * 1024 * 1024) {
     private val limits = HttpLimits(body = bodyLimit)
-    private val target = socketAddress(address)
-    private val idle = ArrayDeque<AsynchronousSocketChannel>()
 
     suspend fun send(method: String, path: String, body: ByteArray = Response.NO_BODY, timeoutMs: Long): Response =
         try {
@@ -34,34 +31,20 @@
         }
 
     private suspend fun exchange(request: Request): Response {
-        val kept = idle.removeLastOrNull()
-        val channel = kept ?: connect()
+        val channel = connections.take(address)
         var done = false
         try {
             channel.awaitWrite(HttpWriter.request(address, request))
             val message = read(channel)
             val status = message.start[1].toIntOrNull() ?: throw IOException("bad status")
-            done = !message.closes && idle.size < keep
-            if (done) idle.addLast(channel)
+            done = !message.closes
+            if (done) connections.keep(address, channel)
             return Response(status, message.body, message.headers["retry-after"]?.toIntOrNull())
         } finally {
             if (!done) quietly { channel.close() }
         }
     }
 
-    private suspend fun connect(): AsynchronousSocketChannel {
-        val channel = AsynchronousSocketChannel.open(loop.group)
-        var connected = false
-        try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-            channel.awaitConnect(target)
-            connected = true
-            return channel
-        } finally {
-            if (!connected) quietly { channel.close() }
-        }
-    }
-
     private suspend fun read(channel: AsynchronousSocketChannel): HttpMessage {
         val parser = HttpParser(HttpParser.Kind.RESPONSE, limits)
         val buffer = ByteBuffer.allocate(BUFFER)
@@ -77,11 +60,6 @@
         }
     }
 
-    /** Drops what is kept, so that the next request finds out anew whether the address answers. */
-    fun forgetConnections() {
-        while (true) quietly { (idle.removeLastOrNull() ?: return).close() }
-    }
-
     private companion object {
         const val BUFFER = 8192
     }
--- a/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -18,10 +18,14 @@
 import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 
-/** Serves HTTP/1.1 without pipelining, each connection by a coroutine of its own. */
+/**
+ * Serves HTTP/1.1 without pipelining, each connection by a coroutine of its own. Beyond half of [maxConnections] those
+ * for which [mayClose] are closed after their answer, so that workers by the thousand leave sockets for the users.
+ */
 class HttpServer(
     private val loop: Loop,
     private val maxConnections: Int,
+    private val mayClose: (Request) -> Boolean,
     private val handle: suspend (Request) -> Response,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
@@ -88,9 +92,11 @@
             when (outcome) {
                 is HttpParser.Done -> {
                     val message = outcome.message
-                    val response = answer(Request(message.start[0], message.start[1], message.body))
-                    write(channel, if (message.closes) Response(response.status, response.body, response.retryAfterS, true) else response)
-                    if (message.closes || response.close) return
+                    val request = Request(message.start[0], message.start[1], message.body)
+                    val response = answer(request)
+                    val close = message.closes || response.close || open > maxConnections / 2 && mayClose(request)
+                    write(channel, Response(response.status, response.body, response.retryAfterS, close))
+                    if (close) return
                 }
                 is HttpParser.Failed -> {
                     write(channel, Response(outcome.status, close = true))
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.Entry
 import org.honeyjunction.wire.EntryPage
@@ -21,11 +20,23 @@
 /** The state service refused or did not answer; nothing can be said about what was asked. */
 class StateUnavailableException(message: String) : IOException(message)
 
+sealed interface WriteOutcome {
+    class Applied(val revision: Long) : WriteOutcome
+
+    /** A condition failed. */
+    data object Refused : WriteOutcome
+
+    /** Perhaps applied, or to be applied later. */
+    data object Unknown : WriteOutcome
+}
+
 /** The client of the state service: keeps to its limits, and joins writes that wait at the same time. */
 class StateClient(private val loop: Loop, address: String, private val limits: StateLimits, clock: Clock) {
-    private class Pending(val conditions: List<Condition>, val writes: List<Write>, val result: CompletableDeferred<CommitOutcome>)
+    private class Pending(val conditions: List<Condition>, val writes: List<Write>, val result: CompletableDeferred<WriteOutcome>) {
+        val bytes = writes.sumOf { it.bytes } + (conditions.size + writes.size) * OVERHEAD
+    }
 
-    private val http = HttpClient(loop, address, keep = 6, bodyLimit = 16 * 1024 * 1024)
+    private val http = HttpClient(Connections(loop, most = 6), address, bodyLimit = 16 * 1024 * 1024)
     private val requests = Budget(limits.requestsPerS * SHARE, limits.requestsPerS * SHARE, clock)
     private val writes = Budget(limits.writesPerS * SHARE, limits.writesPerS * SHARE, clock)
     private val pending = Channel<Pending>(MAX_PENDING)
@@ -86,9 +97,9 @@
     }
 
     /** Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. */
-    suspend fun commit(conditions: List<Condition>, writes: List<Write>): CommitOutcome {
+    suspend fun commit(conditions: List<Condition>, writes: List<Write>): WriteOutcome {
         val p = Pending(conditions, writes, CompletableDeferred())
-        if (pending.trySend(p).isFailure) return CommitOutcome.UNKNOWN
+        if (pending.trySend(p).isFailure) return WriteOutcome.Unknown
         queued += writes.size
         return p.result.await()
     }
@@ -102,6 +113,7 @@
             while (true) {
                 val next = pending.tryReceive().getOrNull() ?: break
                 val fits = batch.sumOf { it.writes.size } + next.writes.size <= limits.transactionWrites &&
+                    batch.sumOf { it.bytes } + next.bytes <= MAX_BYTES &&
                     batch.size < MAX_BATCH && next.writes.none { it.key in keys }
                 if (!fits) {
                     carried = next
@@ -124,23 +136,23 @@
                 val conditions = left.flatMap { it.conditions }.associateBy { it.key }.values
                 val r = ask("POST", "/commit", StateCodec.commit(conditions, left.flatMap { it.writes }))
                 if (r.status != 409) {
-                    ok(r)
-                    left.forEach { finish(it, CommitOutcome.APPLIED) }
+                    val revision = parse { StateCodec.revision(ok(r).body) }
+                    left.forEach { finish(it, WriteOutcome.Applied(revision)) }
                     return
                 }
                 // One failed condition fails the whole transaction: leave out those it belongs to and go on.
                 val failed = parse { StateCodec.failed(r.body) }.toSet()
                 val (out, rest) = left.partition { p -> failed.isEmpty() || p.conditions.any { it.key in failed } }
-                out.forEach { finish(it, CommitOutcome.REFUSED) }
+                out.forEach { finish(it, WriteOutcome.Refused) }
                 left = rest
                 if (rest.isNotEmpty()) writes.take(rest.sumOf { it.writes.size })
             }
         } catch (_: IOException) {
-            left.forEach { finish(it, CommitOutcome.UNKNOWN) }
+            left.forEach { finish(it, WriteOutcome.Unknown) }
         }
     }
 
-    private fun finish(p: Pending, outcome: CommitOutcome) {
+    private fun finish(p: Pending, outcome: WriteOutcome) {
         queued -= p.writes.size
         p.result.complete(outcome)
     }
@@ -176,6 +188,10 @@
         const val SHARE = 0.8
         const val MAX_PENDING = 2_000
         const val MAX_BATCH = 32
+
+        /** Of the 64 KiB that a transaction may have. */
+        const val MAX_BYTES = 56 * 1024
+        const val OVERHEAD = 60
         const val PAGE = 500
         const val TIMEOUT_MS = 1_500L
         const val EXTEND_MS = 1_000L
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
-import org.honeyjunction.core.control.MachineRecord
-import org.honeyjunction.core.control.RecordedTask
+import com.fasterxml.jackson.databind.util.RawValue
+import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.PageRecord
+import org.honeyjunction.core.control.RecordedStart
 
 /** A key's value with its version; version 0 stands for a key that is not there. */
 class Entry(val key: String, val value: JsonNode?, val version: Long, val lease: Long?)
@@ -13,7 +15,10 @@
 class KeyChange(val key: String, val value: JsonNode?, val version: Long)
 
 /** One put (or, without a value, a delete). */
-class Write(val key: String, val value: JsonNode?, val lease: Long? = null)
+class Write(val key: String, value: JsonNode?, val lease: Long? = null) {
+    val json: ByteArray? = value?.let(Json::write)
+    val bytes: Int get() = key.length + (json?.size ?: 0)
+}
 
 class Condition(val key: String, val version: Long)
 
@@ -25,10 +30,10 @@
         val then = o.putArray("Writes")
         for (w in writes) {
             val item = then.addObject()
-            if (w.value == null) {
+            if (w.json == null) {
                 item.put("Delete", w.key)
             } else {
-                item.put("Put", w.key).set<JsonNode>("V", w.value)
+                item.put("Put", w.key).putRawValue("V", RawValue(String(w.json)))
                 w.lease?.let { item.put("NectarGrant", it) }
             }
         }
@@ -61,17 +66,44 @@
 
     fun leaseId(body: ByteArray): Long = Json.readObject(body).count("NectarGrant")
 
-    fun machine(r: MachineRecord): ObjectNode = Json.obj().apply {
-        put("address", r.address).put("type", r.type).put("zone", r.zone).put("spot", r.spot).put("session", r.session)
-        val list = putArray("tasks")
-        r.tasks.forEach { list.addArray().add(it.job).add(it.number).add(it.attempt) }
-        val images = putObject("images")
-        r.images.forEach { (name, gb) -> images.put(name, gb) }
+    /** Starts as flat groups of job, number, attempt and machine; results by job. */
+    fun page(r: PageRecord, write: Long): ObjectNode = Json.obj().apply {
+        put("write", write)
+        val starts = putArray("starts")
+        r.starts.forEach { starts.add(it.job).add(it.number).add(it.attempt).add(it.machine) }
+        val done = putObject("done")
+        r.done.forEach { (job, numbers) -> done.putArray(job).apply { numbers.forEach(::add) } }
     }
 
-    fun machine(name: String, v: JsonNode) = MachineRecord(
-        name, v.textOrNull("address"), v.text("type"), v.text("zone"), v.flag("spot"), v.count("session"),
-        v.list("tasks").map { RecordedTask(it[0].textValue(), it[1].intValue(), it[2].longValue()) },
-        v.given("images")?.properties().orEmpty().associate { (image, gb) -> image to gb.doubleValue() },
+    fun page(number: Int, version: Long, v: JsonNode) = PageRecord(
+        number, version,
+        v.list("starts").chunked(START_FIELDS).map { f ->
+            if (f.size < START_FIELDS || !f[0].isTextual || !f[1].isInt || !f[2].isIntegralNumber || !f[3].isTextual) {
+                throw MalformedException("page $number: a start is invalid")
+            }
+            RecordedStart(f[0].textValue(), f[1].intValue(), f[2].longValue(), f[3].textValue())
+        },
+        v.given("done")?.properties().orEmpty().associate { (job, numbers) -> job to numbers.map { it.intValue() } },
     )
+
+    /** Which writing of a page [v] is. */
+    fun pageWrite(v: JsonNode?): Long? = v?.given("write")?.longValue()
+
+    fun hints(machines: List<MachineHint>): ObjectNode = Json.obj().apply {
+        for (m in machines) {
+            val o = putObject(m.name)
+            o.put("address", m.address).put("type", m.type).put("zone", m.zone).put("spot", m.spot).put("session", m.session)
+            val images = o.putObject("images")
+            m.images.forEach { (name, gb) -> images.put(name, gb) }
+        }
+    }
+
+    fun hints(v: JsonNode): List<MachineHint> = v.properties().map { (name, o) ->
+        MachineHint(
+            name, o.textOrNull("address"), o.text("type"), o.text("zone"), o.flag("spot"), o.count("session"),
+            o.given("images")?.properties().orEmpty().associate { (image, gb) -> image to gb.doubleValue() },
+        )
+    }
+
+    private const val START_FIELDS = 4
 }
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -5,6 +5,7 @@
 import org.honeyjunction.core.capacity.Leaving
 import org.honeyjunction.core.capacity.Offer
 import org.honeyjunction.core.capacity.Planner
+import org.honeyjunction.core.capacity.Wanted
 import org.honeyjunction.core.model.MachineType
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
@@ -35,10 +36,10 @@
     fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int) {
         val leaving = if (leavesIn > 0) listOf(Leaving(leavesIn, size)) else emptyList()
         val bin = Bin(7, spot, Resources(free * 1.0, free * 1.0, free * 1.0), true, leaving)
-        val plan = Planner(types) { refused }.plan((0 until waiting).map { row(it, maySpot) }, listOf(Expected(row(0, maySpot), expected, atOnce = true)), listOf(bin), emptyMap())
+        val plan = Planner(types) { refused }.plan(listOf(Wanted(row(0, maySpot), waiting)).filter { it.count > 0 }, listOf(Expected(row(0, maySpot), expected, atOnce = true)), listOf(bin), emptyMap())
         assertEquals(machines, plan.rent.values.sum(), name)
         assertEquals(if (machines == 0) emptySet() else setOf(maySpot), plan.rent.keys.mapTo(HashSet()) { it.spot })
-        assertEquals(if (refused) 4 else 0, plan.unmet.size)
+        assertEquals(if (refused) 1 else 0, plan.unmet.size)
         assertEquals(maySpot, 7 in plan.keep, "the machine at hand is kept for what it can take")
         assertEquals(false, ordinary in plan.rent && maySpot)
     }
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -3,8 +3,9 @@
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
-import org.honeyjunction.core.control.MachineRecord
-import org.honeyjunction.core.control.RecordedTask
+import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.PageRecord
+import org.honeyjunction.core.control.RecordedStart
 import org.honeyjunction.core.control.Recovered
 import org.honeyjunction.core.control.Report
 import org.honeyjunction.core.control.ReportedTask
@@ -34,11 +35,12 @@
         "j-1", "c", "a", JobKind.ARRAY, Priority.NORMAL, 2, Resources(1.0, 1.0, 1.0), "i", 5.0, null, null,
         false, false, false, 10.0, 0.0, 0.0, null,
     )
-    private val record = MachineRecord("vm-1", "10.1.0.1:1", "t4", "x", false, 1, listOf(RecordedTask("j-1", 0, 77)), mapOf("i" to 5.0))
+    private val hint = MachineHint("vm-1", "10.1.0.1:1", "t4", "x", false, 1, mapOf("i" to 5.0))
+    private val page = PageRecord(2, 9, listOf(RecordedStart("j-1", 0, 77, "vm-1")), mapOf("j-7" to listOf(0, 5)))
 
     private fun holder() = Holder(
         World.cluster(), Tuning(), term, "n",
-        Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), emptyList(), listOf(record)), 0, 0, 4000,
+        Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), listOf(page), listOf(hint)), 0, 0, 4000,
     ).also { it.leaseUntil(Long.MAX_VALUE) }
 
     private fun report(session: Long, sequence: Long, withToken: Long, vararg tasks: ReportedTask) =
@@ -47,8 +49,11 @@
     private fun Holder.places() = state.job("j-1")!!.tasks[0].placements
 
     @Test
-    fun `what a machine's record says survives the state service, its images too`() {
-        assertEquals(record, StateCodec.machine("vm-1", Json.read(Json.write(StateCodec.machine(record)))))
+    fun `what is recorded survives the state service, images too`() {
+        val stored = Json.read(Json.write(StateCodec.page(page, 4)))
+        val read = StateCodec.page(2, 9, stored)
+        assertEquals(listOf(page.starts, page.done, 4L), listOf(read.starts, read.done, StateCodec.pageWrite(stored)))
+        assertEquals(listOf(hint), StateCodec.hints(Json.read(Json.write(StateCodec.hints(listOf(hint))))))
         val h = holder()
         assertEquals(setOf(h.state.cluster.images.index("i")), h.state.machine("vm-1")!!.images.keys.toSet())
     }
@@ -124,7 +129,7 @@
         h.hello(report(1, 5, token), 10)
         h.leaseUntil(20)
         h.tick(600)
-        h.drain().filterIsInstance<Effect.Commit>().forEach { h.committed(it.id, CommitOutcome.APPLIED, 700) }
+        h.drain().filterIsInstance<Effect.Commit>().forEach { h.committed(it.id, CommitOutcome.Applied(10), 700) }
         assertEquals(emptyList<Effect>(), h.drain().filter { it is Effect.Send && it.commands.isNotEmpty() })
         h.leaseUntil(5_000)
         h.tick(800)
--- a/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -12,7 +12,7 @@
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.placement.TeamShare
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -125,15 +125,14 @@
     fun preemption(name: String, mine: Priority, guaranteed: Boolean, theirs: Priority, team: Int, theirsGuaranteed: Boolean, stops: Boolean) {
         val waiting = row(1, priority = mine, guaranteed = guaranteed)
         val victim = Running("v", 0, team, theirs, theirsGuaranteed, gpus(1), 5.0)
-        val victims = Preemption.victims(waiting, listOf(Room(0, Resources.NONE, 0, 0, false, intArrayOf())), mapOf(0 to listOf(victim)))
-        assertEquals(stops, victims.isNotEmpty(), name)
+        assertEquals(if (stops) listOf(victim) else null, Preemption.victims(waiting, Resources.NONE, listOf(victim)), name)
     }
 
     @Test
-    fun `the machine that loses least is freed`() {
-        val full = listOf(0, 1).map { Room(it, Resources.NONE, 0, 0, false, intArrayOf()) }
-        val running = mapOf(0 to listOf(Running("dear", 0, 0, Priority.LOW, true, gpus(1), 90.0)), 1 to listOf(Running("cheap", 1, 0, Priority.LOW, true, gpus(1), 3.0)))
-        assertEquals(listOf("cheap"), Preemption.victims(row(1), full, running).map { it.of })
-        assertTrue(Preemption.victims(row(1, gpus = 2), full, running).isEmpty())
+    fun `no more is stopped than is needed, and what loses least first`() {
+        val running = listOf(90.0, 3.0, 5.0).map { Running(it, 0, 0, Priority.LOW, true, gpus(1), it) }
+        assertEquals(listOf(3.0), Preemption.victims(row(1), Resources.NONE, running)?.map { it.of })
+        assertEquals(listOf(3.0, 5.0), Preemption.victims(row(1, gpus = 3), gpus(1), running)?.map { it.of })
+        assertNull(Preemption.victims(row(1, gpus = 4), Resources.NONE, running))
     }
 }
--- a/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
@@ -90,6 +90,23 @@
         }
     }
 
+    @Test
+    fun `a large fleet - a thousand machines, the holder crashes, machines are lost by the dozen`() {
+        val w = World(7, capacity = 1_000, limits = mapOf("a" to 3_000.0, "b" to 3_000.0))
+        w.elect()
+        val jobs = (1..40).map { w.submit(it, JobKind.ARRAY, 60, if (it % 2 == 0) "a" else "b", spot = it % 3 == 0, seconds = 25.0) } +
+            (41..80).map { w.submit(it, JobKind.GANG, 1 + it % 4, "b", oneZone = true, gpus = 4, seconds = 15.0) } +
+            w.submit(81, JobKind.ARRAY, 700, "a", seconds = 5.0)
+        w.run(18_000)
+        assertTrue(w.workers.size > 500, "rented ${w.workers.size}")
+        w.strike("holder crash")
+        repeat(40) { w.strike(listOf("machine dies", "machine hangs", "machine cut")[it % 3]) }
+        w.run(12_000)
+        w.strike("state outage")
+        w.run(120_000)
+        w.assertAllDone(jobs)
+    }
+
     @ParameterizedTest
     @ValueSource(longs = [1, 2])
     fun `a job that fails everywhere backs off and costs few machines`(seed: Long) {
--- a/src/test/kotlin/org/honeyjunction/sim/StandIns.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/StandIns.kt
@@ -4,7 +4,8 @@
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
-import org.honeyjunction.core.control.MachineRecord
+import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
 import org.honeyjunction.core.control.Report
 import org.honeyjunction.core.control.ReportedTask
@@ -20,32 +21,43 @@
     private var revision = 0L
     val jobs = LinkedHashMap<String, StoredJob>()
     val finals = HashMap<String, StoredJob>()
-    private val machines = LinkedHashMap<String, MachineRecord>()
-    private val chunks = HashMap<Pair<String, Int>, ByteArray>()
+    private val hints = HashMap<Int, List<MachineHint>>()
+    val pages = LinkedHashMap<Int, Pair<PageRecord, Long>>()
 
     fun submit(job: StoredJob): StoredJob = job.copy(version = ++revision).also { jobs[job.spec.id] = it }
 
-    fun commit(byTerm: Long, changes: List<Change>): CommitOutcome {
-        if (down) return CommitOutcome.UNKNOWN
-        val overs = changes.filterIsInstance<Change.JobOver>()
-        if (byTerm != term || overs.any { jobs[it.job]?.version != it.version }) return CommitOutcome.REFUSED
+    /** Null: a condition failed, or the service is down. */
+    fun commit(byTerm: Long, changes: List<Change>): Long? {
+        if (down || byTerm != term || !changes.all(::holds)) return null
         revision++
         for (c in changes) {
             when (c) {
-                is Change.MachineTasks -> machines[c.record.name] = c.record
-                is Change.MachineGone -> machines.remove(c.machine)
-                is Change.TasksDone -> chunks[c.job to c.chunk] = c.bits
+                is Change.Page -> pages[c.record.page] = c.record.copy(version = revision) to c.write
+                is Change.Hints -> hints[c.page] = c.machines
                 is Change.JobOver -> finals[c.job] =
                     jobs.remove(c.job)!!.copy(stage = if (c.cancelled) JobStage.CANCELLED else JobStage.DONE)
             }
         }
-        return CommitOutcome.APPLIED
+        return revision
+    }
+
+    private fun holds(change: Change) = when (change) {
+        is Change.Page -> (pages[change.record.page]?.first?.version ?: 0L) == change.record.version
+        is Change.JobOver -> jobs[change.job]?.version == change.version
+        is Change.Hints -> true
+    }
+
+    /** As the driver does after a write without an answer: a page is read to see which writing of it is there. */
+    fun reread(changes: List<Change>): CommitOutcome {
+        val c = changes.filterIsInstance<Change.Page>().firstOrNull() ?: return CommitOutcome.Failed()
+        val (record, write) = pages[c.record.page] ?: return CommitOutcome.Failed(0)
+        return if (write == c.write) CommitOutcome.Applied(record.version) else CommitOutcome.Failed(record.version)
     }
 
     fun recovered(): Recovered {
-        val named = machines.values.flatMap { r -> r.tasks.map { it.job } }.toSet()
-        val stored = jobs.values + named.mapNotNull(finals::get)
-        return Recovered(stored, chunks.map { (key, bits) -> Triple(key.first, key.second, bits) }, machines.values.toList())
+        val records = pages.values.map { it.first }
+        val named = records.flatMap { r -> r.starts.map { it.job } }.toSet() - jobs.keys
+        return Recovered(jobs.values + named.mapNotNull(finals::get), records, hints.values.flatten())
     }
 }
 
--- a/src/test/kotlin/org/honeyjunction/sim/World.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/World.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.sim
 
 import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.ClusterState
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
@@ -20,7 +21,7 @@
 import java.util.Random
 
 /** Whole cores in virtual time, against stand-ins; after every step the rules are asserted. */
-class World(seed: Long, private val capacity: Int = 12) {
+class World(seed: Long, private val capacity: Int = 12, private val limits: Map<String, Double> = LIMITS) {
     val random = Random(seed)
     var now = 0L
         private set
@@ -46,7 +47,7 @@
     inner class Core(val term: Long) {
         var alive = true
         var reachable = true
-        val holder = Holder(cluster(), Tuning(), term, "n", state.recovered(), now, now, LAG).also { it.leaseUntil(now + LEASE) }
+        val holder = Holder(cluster(limits), Tuning(), term, "n", state.recovered(), now, now, LAG).also { it.leaseUntil(now + LEASE) }
 
         fun run(block: Holder.() -> Unit) {
             if (!alive) return
@@ -84,21 +85,13 @@
         return spec.id
     }
 
-    fun cancel(id: String) = holder?.run { cancel(id) }
+    fun cancel(id: String) = holder?.run { cancel(id, now) }
 
     private fun job(id: String) = state.jobs[id] ?: state.finals[id]
 
     private fun carryOut(core: Core, e: Effect) {
         when (e) {
-            is Effect.Commit -> at(latency()) {
-                val outcome = state.commit(core.term, e.changes)
-                val lost = random.nextInt(50) == 0
-                at(if (outcome == CommitOutcome.APPLIED) latency() else 300) {
-                    if (outcome == CommitOutcome.REFUSED) core.alive = false
-                    else if (!lost || e.changes.any { it is Change.JobOver }) core.run { committed(e.id, outcome, now) }
-                    else core.run { committed(e.id, CommitOutcome.UNKNOWN, now) }
-                }
-            }
+            is Effect.Commit -> commit(core, e)
             is Effect.Send -> deliver(core, e)
             is Effect.Rent -> at(100) { rent(core, e) }
             is Effect.Release -> at(100) {
@@ -111,6 +104,27 @@
         }
     }
 
+    /** Writes are answered, or their answer is lost, or they are held back and applied late, if their conditions still hold. */
+    private fun commit(core: Core, e: Effect.Commit) {
+        val fate = if (e.changes.any { it is Change.JobOver }) 50 else random.nextInt(50)
+        if (fate == 0) at(3_000L + random.nextInt(5_000)) { state.commit(core.term, e.changes) }
+        at(latency()) {
+            val version = if (fate == 0) null else state.commit(core.term, e.changes)
+            val answered = version?.takeIf { fate > 1 }
+            at(if (answered != null) latency() else 300) {
+                if (core.term != state.term) core.alive = false
+                else if (answered != null) core.run { committed(e.id, CommitOutcome.Applied(answered), now) }
+                else reread(core, e)
+            }
+        }
+    }
+
+    private fun reread(core: Core, e: Effect.Commit) {
+        if (state.down) return at(300) { reread(core, e) }
+        val outcome = state.reread(e.changes)
+        core.run { committed(e.id, outcome, now) }
+    }
+
     /** Commands reach the worker, or come much later: held back by a cut or a hanging machine. */
     private fun deliver(core: Core, e: Effect.Send) {
         val w = workers[e.machine]
@@ -181,8 +195,23 @@
         }
     }
 
+    /** What the holder adds up as it goes along must be what a recount gives. */
+    private fun recount(s: ClusterState) {
+        val placements = s.machines.flatMap { it.placements.values }
+        for (team in s.cluster.teams.indices) {
+            val gpus = placements.filter { it.task.job.team == team }.sumOf { it.task.job.spec.need.gpus }
+            if (s.usage(team).gpus != gpus || s.running(team) != placements.count { it.task.job.team == team }) broken += "$now usage of team $team"
+        }
+        for (job in s.active.values) {
+            val waiting = job.tasks.filter { !it.done && it.placements.isEmpty() }.map { it.number }
+            if (job.waiting.stream().toArray().asList() != waiting) broken += "$now waiting tasks of ${job.spec.id}"
+            if (job.placements.toSet() != placements.filterTo(HashSet()) { it.task.job === job }) broken += "$now placements of ${job.spec.id}"
+        }
+    }
+
     /** The rules, as the protocol states them. */
     private fun check() {
+        if (now % 1000 == 0L) holder?.let { recount(it.holder.state) }
         val live = workers.values.filter { it.holds(now) }.flatMap { w -> w.tasks.filterValues { it.live }.map { (id, t) -> Triple(id, w, t) } }
         for ((id, there) in live.groupBy { it.first }) {
             if (there.size > 1) broken += "$now ran_twice: $id on ${there.map { it.second.name }}"
@@ -191,7 +220,7 @@
             if (liveBefore.put(id, key) != key) onStart(id, t.second, t.third, live)
         }
         liveBefore.keys.retainAll(live.mapTo(HashSet()) { it.first })
-        for ((team, limit) in LIMITS) {
+        for ((team, limit) in limits) {
             val used = live.filter { it.third.job.spec.team == team }.sumOf { it.third.job.spec.need.gpus }
             if (used > limit) broken += "$now quota: $team uses $used"
         }
@@ -221,10 +250,10 @@
         const val LAG = 4_000L
         val LIMITS = mapOf("a" to 10.0, "b" to 16.0)
 
-        fun cluster() = Cluster(
+        fun cluster(limits: Map<String, Double> = LIMITS) = Cluster(
             Names().also { n -> listOf("x", "y").forEach(n::index) },
-            LIMITS.map { (name, most) -> Team(name, Resources(0.0, 8.0, 0.0), Resources(0.0, most, 0.0)) },
-            LEASE_WORKER, 2_000, CANCEL, 50,
+            limits.map { (name, most) -> Team(name, Resources(0.0, 8.0, 0.0), Resources(0.0, most, 0.0)) },
+            LEASE_WORKER, 2_000, CANCEL, pageBytes = 600,
         ).also {
             it.types[it.typeNames.index("t4")] = MachineType("t4", Resources(4.0, 4.0, 4.0), 50.0, 1.0, 8.0, 3.0, 5.0, listOf(0, 1))
         }
