--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -12,23 +12,40 @@
 class Leaving(val inS: Double, val need: Resources)
 
 /** Room that is there, or will be: a machine that is up or booting. */
-class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, val leaving: List<Leaving> = emptyList()) {
+class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, leaving: List<Leaving> = emptyList()) {
+    private val leaving = ArrayList(leaving)
     var needed = false
 
-    fun freeWithin(seconds: Double): Resources =
-        leaving.fold(free) { sum, l -> if (l.inS <= seconds) sum + l.need else sum }
+    /** Takes room for [need] now; a task of [runS] seconds (null: without end) gives it back, [fromS] seconds from now. */
+    fun take(need: Resources, runS: Double?, fromS: Double = 0.0) {
+        free -= need
+        needed = true
+        if (runS != null) leaving += Leaving(fromS + runS, need)
+    }
+
+    /** When, within [seconds], there is room for [need]; null if there is none. */
+    fun freeFor(need: Resources, seconds: Double): Double? {
+        if (leaving.isEmpty()) return null
+        var room = free
+        for (l in leaving.sortedBy { it.inS }) {
+            if (l.inS > seconds) return null
+            room += l.need
+            if (need.fitsIn(room)) return l.inS
+        }
+        return null
+    }
 }
 
 /**
  * Tasks like [sample] of which [count] are expected to arrive while a machine boots. If they are to start at once,
  * room must be ready for them; the others can have the room of tasks that end meanwhile.
  */
-class Expected(val sample: Row, val count: Int, val atOnce: Boolean)
+class Expected(val wanted: Wanted, val atOnce: Boolean)
 
 class Plan(val rent: Map<Offer, Int>, val keep: Set<Int>, val unmet: List<Row>)
 
-/** So many tasks like [sample] that wait. */
-class Wanted(val sample: Row, val count: Int)
+/** So many tasks like [sample] that wait, each of which will run for [runS] seconds by its owner's estimate; null: for ever. */
+class Wanted(val sample: Row, val count: Int, val runS: Double? = null)
 
 /**
  * Decides what to rent and which empty machines to keep: first fit, dearest demand first, cheapest offer first. Tasks
@@ -46,14 +63,13 @@
         val unmet = ArrayList<Row>()
         for (w in waiting) {
             val zone = if (w.sample.oneZone) bestZone(w, work) else null
-            var left = fill(w.sample, w.count, zone, work)
-            left = await(w.sample, left, zone, work)
-            if (buy(w.sample, left, zone, work) > 0) unmet += w.sample
+            val left = await(w, fill(w, zone, work), zone, work)
+            if (buy(w, left, zone, work) > 0) unmet += w.sample
         }
         for (e in expected) {
-            var left = fill(e.sample, e.count, null, work)
-            if (!e.atOnce) left = await(e.sample, left, null, work)
-            buy(e.sample, left, null, work)
+            var left = fill(e.wanted, null, work)
+            if (!e.atOnce) left = await(e.wanted, left, null, work)
+            buy(e.wanted, left, null, work)
         }
         return Plan(work.rent, work.open.filter { it.needed && it.machine >= 0 }.mapTo(HashSet()) { it.machine }, unmet)
     }
@@ -75,42 +91,45 @@
             )
     }
 
-    private fun take(bin: Bin, sample: Row, count: Int) {
-        bin.free -= sample.need * count
-        bin.needed = true
-    }
-
     /** Partly used machines first, so that the empty ones can be returned. Returns how many are left over. */
-    private fun fill(sample: Row, count: Int, zone: Int?, work: Work): Int {
-        if (count <= 0) return 0
-        var left = count
+    private fun fill(w: Wanted, zone: Int?, work: Work): Int {
+        if (w.count <= 0) return 0
+        val sample = w.sample
+        var left = w.count
         val bins = work.open.filter { allows(sample, it.offer, zone) && sample.need.fitsIn(it.free) }.sortedWith(
             compareBy<Bin> { it.empty && !it.needed }.thenBy { sample.spot != it.offer.spot }.thenBy { it.free.gpus },
         )
         for (bin in bins) {
             if (left == 0) break
             val here = minOf(left, sample.need.countIn(bin.free))
-            take(bin, sample, here)
+            repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
         return left
     }
 
-    /** Room that gets free before a machine rented now could have booted and fetched the image: renting would be later. */
-    private fun await(sample: Row, count: Int, zone: Int?, work: Work): Int {
+    /**
+     * Room that gets free before a machine rented now could have booted and fetched the image: renting would be later.
+     * A slot may serve several short tasks, one after the other, in that time.
+     */
+    private fun await(w: Wanted, count: Int, zone: Int?, work: Work): Int {
         var left = count
         for (bin in work.open) {
             if (left <= 0) break
             val type = types[bin.offer.type] ?: continue
-            if (bin.leaving.isEmpty() || !allows(sample, bin.offer, zone)) continue
-            val here = minOf(left, sample.need.countIn(bin.freeWithin(type.bootS + sample.imageGb / type.fetchGbPerS)))
-            if (here > 0) take(bin, sample, here)
-            left -= here
+            if (!allows(w.sample, bin.offer, zone)) continue
+            val within = type.bootS + w.sample.imageGb / type.fetchGbPerS
+            while (left > 0) {
+                val at = bin.freeFor(w.sample.need, within) ?: break
+                bin.take(w.sample.need, w.runS?.coerceAtLeast(SHORTEST_S), at)
+                left--
+            }
         }
         return left
     }
 
-    private fun buy(sample: Row, count: Int, zone: Int?, work: Work): Int {
+    private fun buy(w: Wanted, count: Int, zone: Int?, work: Work): Int {
+        val sample = w.sample
         var left = count
         while (left > 0) {
             val offer = offers(sample, zone).minWithOrNull(
@@ -121,7 +140,7 @@
             work.zones.merge(offer.zone, 1, Int::plus)
             val bin = Bin(-1, offer, types.getValue(offer.type).size, true).also(work.open::add)
             val here = minOf(left, room(sample, offer))
-            take(bin, sample, here)
+            repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
         return 0
@@ -136,16 +155,21 @@
     private fun allows(row: Row, offer: Offer, zone: Int?) =
         (row.zones shr offer.zone) and 1L != 0L && (row.types shr offer.type) and 1L != 0L &&
             (row.spot || !offer.spot) && (zone == null || zone == offer.zone)
+
+    private companion object {
+        /** An estimate of next to nothing must not make one slot do for everything. */
+        const val SHORTEST_S = 5.0
+    }
 }
 
 /** Counts arrivals of each class, to expect as many in the time a machine takes to boot. */
 class Forecast(private val windowMs: Long) {
-    private class Arrival(val at: Long, val tasks: Int, val sample: Row)
+    private class Arrival(val at: Long, val wanted: Wanted)
 
     private val arrivals = HashMap<Int, ArrayDeque<Arrival>>()
 
-    fun note(jobClass: Int, tasks: Int, sample: Row, now: Long) {
-        arrivals.getOrPut(jobClass, ::ArrayDeque).addLast(Arrival(now, tasks, sample))
+    fun note(jobClass: Int, wanted: Wanted, now: Long) {
+        arrivals.getOrPut(jobClass, ::ArrayDeque).addLast(Arrival(now, wanted))
     }
 
     /** A short history is not stretched: a burst at the start says little of what follows. */
@@ -153,7 +177,7 @@
         arrivals.entries.mapNotNull { (jobClass, recent) ->
             while (recent.isNotEmpty() && recent.first().at < now - windowMs) recent.removeFirst()
             val latest = recent.lastOrNull() ?: return@mapNotNull null
-            val count = ceil(recent.sumOf { it.tasks } * factor * horizonMs / windowMs).toInt()
-            Expected(latest.sample, count, atOnce(jobClass))
-        }.sortedByDescending { it.sample.priority }
+            val count = ceil(recent.sumOf { it.wanted.count } * factor * horizonMs / windowMs).toInt()
+            Expected(Wanted(latest.wanted.sample, count, latest.wanted.runS), atOnce(jobClass))
+        }.sortedByDescending { it.wanted.sample.priority }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -123,7 +123,10 @@
     }
 
     fun noteArrival(job: Job, now: Long) {
-        if (forecasted.add(job.index)) forecast.note(state.cluster.classes.index(job.spec.jobClass), job.spec.tasks, queue.sample(job), job.createdAt.coerceAtMost(now))
+        if (!forecasted.add(job.index)) return
+        forecast.note(
+            state.cluster.classes.index(job.spec.jobClass), Wanted(queue.sample(job), job.spec.tasks, queue.runS(job)), job.createdAt.coerceAtMost(now),
+        )
     }
 
     fun plan(now: Long) {
