A busy slot with the image is a column too, at the cost of the wait

Cause: a task fetches for 50 s at 0.1 GB/s although a machine with its image is free in 10 s. Change: such a slot is a column, at alpha times what could be fetched during the wait; the row assigned to it waits. Not for gangs, and for no longer than a fetch takes.

--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -3,16 +3,14 @@
 import org.honeyjunction.core.model.MachineType
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Soon
 import kotlin.math.ceil
 
 /** One kind of machine that the cloud rents. */
 data class Offer(val type: Int, val zone: Int, val spot: Boolean)
 
-/** Room that a running task will probably leave, in so many seconds. */
-class Leaving(val inS: Double, val need: Resources)
-
 /** Room that is there, or will be: a machine that is up or booting. */
-class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, leaving: List<Leaving> = emptyList()) {
+class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, leaving: List<Soon> = emptyList()) {
     private val leaving = ArrayList(leaving)
     var needed = false
 
@@ -20,7 +18,7 @@
     fun take(need: Resources, runS: Double?, fromS: Double = 0.0) {
         free -= need
         needed = true
-        if (runS != null) leaving += Leaving(fromS + runS, need)
+        if (runS != null) leaving += Soon(fromS + runS, need)
     }
 
     /** When, within [seconds], there is room for [need]; null if there is none. */
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -3,17 +3,14 @@
 import org.honeyjunction.core.capacity.Bin
 import org.honeyjunction.core.capacity.Expected
 import org.honeyjunction.core.capacity.Forecast
-import org.honeyjunction.core.capacity.Leaving
 import org.honeyjunction.core.capacity.Offer
 import org.honeyjunction.core.capacity.Plan
 import org.honeyjunction.core.capacity.Planner
 import org.honeyjunction.core.capacity.Wanted
 import org.honeyjunction.core.model.Job
-import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
-import org.honeyjunction.core.model.Phase
 
 /** Rents, watches and returns machines. */
 class Fleet(private val state: ClusterState, private val queue: Queue, private val startedAt: Long, private val listLagMs: Long) {
@@ -164,21 +161,13 @@
         val there = state.machines.filter { m ->
             val type = state.cluster.types[m.type] ?: return@filter false
             m.usable || m.phase == MachinePhase.BOOTING && now - m.knownSince < type.bootS * 1000 * BOOT_EXPECTED
-        }.map { Bin(it.index, Offer(it.type, it.zone, it.spot), state.room(it), it.placements.isEmpty(), leaving(it, now)) }
+        }.map { Bin(it.index, Offer(it.type, it.zone, it.spot), state.room(it), it.placements.isEmpty(), queue.leaving(it, now)) }
         val asked = rentals.values.flatMap { r ->
             List(r.effect.count) { Bin(-1, r.offer, state.cluster.types.getValue(r.offer.type).size, true) }
         }
         return there + asked
     }
 
-    /** When the tasks of [m] may end, by their owners' estimates; one that has outlasted its own goes on for a while. */
-    private fun leaving(m: Machine, now: Long): List<Leaving> = m.placements.values.mapNotNull { p ->
-        val spec = p.task.job.spec
-        if (spec.kind == JobKind.SERVICE || !p.phase.reported) return@mapNotNull null
-        val ranS = if (p.phase == Phase.RUNNING) (now - p.since) / 1000.0 else 0.0
-        Leaving(maxOf(spec.estimateS - ranS, ranS * OVERDUE), spec.need)
-    }
-
     private fun rent(offer: Offer, count: Int, now: Long) {
         if (rentals.values.any { it.offer == offer }) return
         // Term and sequence: a name that no other holder, before or after a restart, can have used.
@@ -223,7 +212,6 @@
         const val DRIFT = 1.002
         const val MARGIN_MS = 300L
         const val DEFAULT_BOOT_S = 60.0
-        const val OVERDUE = 0.3
         const val BOOT_PATIENCE = 3.0
         const val BOOT_EXPECTED = 1.8
         const val MAX_RELEASE = 100
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -12,6 +12,7 @@
 import org.honeyjunction.core.model.zonesFor
 import org.honeyjunction.core.placement.Room
 import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Soon
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.placement.TeamShare
 
@@ -119,8 +120,11 @@
     fun summary(now: Long, limit: Int, owner: (Job) -> Boolean): Summary {
         val demands = demands(now, owner)
         if (demands.isEmpty()) return Summary(emptyList(), emptyList(), 0, emptyList())
-        val rooms = state.machines.filter { m -> m.usable && m.type >= 0 && m.address != null && hasRoom(m, demands, now) }
-            .map { room(it, now) }
+        val images = demands.mapTo(HashSet()) { it.sample.image }
+        val rooms = state.machines.filter { it.usable && it.address != null && it.type in state.cluster.types }.mapNotNull { m ->
+            val soon = if (m.images.keys.any { it in images }) soon(m, now) else emptyList()
+            if (soon.isEmpty() && !hasRoom(m, demands, now)) null else room(m, now, soon)
+        }
         val teams = state.cluster.teams.mapIndexed { i, t -> TeamShare(weight(t.guarantee), state.running(i)) }
         return Summary(rooms, teams, slots(), rows(demands, now, limit))
     }
@@ -138,8 +142,24 @@
         return state.machines.sumOf { m -> if (m.phase == MachinePhase.UP) perType[m.type] ?: 0 else 0 }
     }
 
-    fun room(m: Machine, now: Long) =
-        Room(m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m))
+    fun room(m: Machine, now: Long, soon: List<Soon> = emptyList()) = Room(
+        m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m),
+        state.cluster.types[m.type]?.fetchGbPerS ?: 0.0, soon,
+    )
+
+    /** When the tasks of [m] may end, by their owners' estimates; one that has outlasted its own goes on for a while. */
+    fun leaving(m: Machine, now: Long): List<Soon> = m.placements.values.mapNotNull { p ->
+        val spec = p.task.job.spec
+        if (spec.kind == JobKind.SERVICE || !p.phase.reported) return@mapNotNull null
+        val ranS = if (p.phase == Phase.RUNNING) (now - p.since) / 1000.0 else 0.0
+        Soon(maxOf(spec.estimateS - ranS, ranS * OVERDUE), spec.need)
+    }
+
+    /** Only running tasks, and no longer than the largest image would take. */
+    private fun soon(m: Machine, now: Long): List<Soon> {
+        if (m.placements.values.none { it.phase == Phase.RUNNING }) return emptyList()
+        return leaving(m, now).filter { it.inS <= MAX_AWAIT_S }
+    }
 
     private fun fetchingGb(m: Machine): Double = m.placements.values.filter { it.phase <= Phase.FETCHING && it.phase != Phase.UNHEARD }
         .distinctBy { it.task.job.image }.sumOf { it.task.job.spec.imageGb }
@@ -148,5 +168,7 @@
 
     private companion object {
         const val MARK_MS = 400L
+        const val OVERDUE = 0.3
+        const val MAX_AWAIT_S = 60.0
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -4,8 +4,8 @@
 import kotlin.math.max
 import kotlin.math.min
 
-/** A free slot: a column of the matrix. */
-class Slot(val room: Room, val place: Int)
+/** A free slot, or one that is free [soon]: a column of the matrix. */
+class Slot(val room: Room, val place: Int, val soon: Soon? = null)
 
 /** FC + DLC, as the paper's formulas (4) to (9) have it; see docs/design.md for what is added and why. */
 class CostMatrix(private val summary: Summary, private val settings: CostSettings) {
@@ -30,11 +30,17 @@
             val fits = samples.filter { it.allows(room) }.maxOfOrNull { it.need.countIn(room.free) } ?: 0
             List(min(fits, rows.size)) { Slot(room, it) }
         }
-        if (all.size <= settings.maxColumns) return all
+        val soon = summary.rooms.flatMap { room -> room.soon.map { Slot(room.withFree(room.free + it.need), 0, it) } }
+            .filter { slot -> samples.any { mayAwait(it, slot) } }.sortedBy { it.soon!!.inS }.take(settings.maxColumns / 2)
+        return soon + cut(all, rows, settings.maxColumns - soon.size)
+    }
+
+    private fun cut(all: List<Slot>, rows: List<Row>, most: Int): List<Slot> {
+        if (all.size <= most) return all
         // Of too many, those where an image is at hand, then the first slot of every machine; what is cut comes in later passes.
         val images = rows.mapTo(HashSet()) { it.image }
         return all.sortedWith(compareBy<Slot> { slot -> slot.room.images.none { it in images } }.thenBy { it.place })
-            .take(settings.maxColumns).sortedBy { it.room.machine }
+            .take(most).sortedBy { it.room.machine }
     }
 
     /** The rows in the order of priority, guarantee, group cost and age. */
@@ -65,7 +71,16 @@
         return result
     }
 
+    /**
+     * Whether [row] may wait for [slot]: its image is there, and it has not waited for longer than a fetch would take.
+     * Gangs do not wait, since all of their tasks would have to.
+     */
+    private fun mayAwait(row: Row, slot: Slot) = row.gangOf == 0 && row.image in slot.room.images && row.allows(slot.room) &&
+        row.waitingMs / 1000.0 * slot.room.fetchGbPerS < row.imageGb
+
     fun cost(row: Row, slot: Slot, fairness: Double): Double {
+        // A wait counts as the gigabytes that could be fetched meanwhile.
+        if (slot.soon != null) return if (mayAwait(row, slot)) fairness + settings.alpha * slot.soon.inS * slot.room.fetchGbPerS else BARRED
         if (!row.allows(slot.room)) return BARRED
         val locality = if (row.image in slot.room.images) 0.0 else settings.alpha * (row.imageGb + slot.room.fetchingGb)
         val kind = if (row.spot && !slot.room.spot) settings.spotPreference else 0.0
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -11,13 +11,16 @@
         // Slots are cut for the smallest task, so a larger neighbour can leave one too small: go on with what is left.
         repeat(MAX_PASSES) {
             val current = Summary(rooms, summary.teams, summary.slots, waiting)
-            val taken = pass(current)
-            if (taken.isEmpty()) return chosen
+            val (taken, awaiting) = pass(current)
+            if (taken.isEmpty() && awaiting.isEmpty()) return chosen
             chosen += taken
             val byTask = waiting.associateBy { it.job to it.task }
             val used = taken.groupBy { it.machine }
             val started = taken.mapTo(HashSet()) { it.job to it.task }
-            rooms = rooms.map { room ->
+            awaiting.keys.mapTo(started) { it.job to it.task }
+            val promised = awaiting.values.mapNotNullTo(HashSet()) { it.soon }
+            rooms = rooms.map { r ->
+                val room = if (r.soon.any { it in promised }) r.withFree(r.free, soon = r.soon.filter { it !in promised }) else r
                 val here = used[room.machine] ?: return@map room
                 val rows = here.map { byTask.getValue(it.job to it.task) }
                 val free = rows.fold(room.free) { free, row -> free - row.need }
@@ -34,19 +37,21 @@
         return chosen
     }
 
-    private fun pass(summary: Summary): List<Proposal> {
+    /** What is to start now, and the rows for which waiting for a slot with their image is cheaper than fetching it. */
+    private fun pass(summary: Summary): Pair<List<Proposal>, Map<Row, Slot>> {
         val matrix = CostMatrix(summary, settings)
         val ordered = matrix.order(summary.rows)
         val slots = matrix.slots(ordered)
-        if (slots.isEmpty()) return emptyList()
+        if (slots.isEmpty()) return emptyList<Proposal>() to emptyMap()
         val rows = chooseZones(ordered, summary.rooms).take(2 * slots.size)
             // Among equal costs, tasks of one image come to lie on slots side by side: one fetch serves them all.
             .sortedWith(compareByDescending<Row> { it.priority }.thenBy { it.image })
         val fairness = matrix.fairness(rows, slots)
         val cost = Array(rows.size) { r -> DoubleArray(slots.size) { c -> matrix.cost(rows[r], slots[c], fairness[r]) } }
         val assigned = Hungarian.solve(cost)
-        return admit(rows.indices.filter { assigned[it] >= 0 && cost[it][assigned[it]] < CostMatrix.BARRED / 2 }
-            .map { rows[it] to slots[assigned[it]].room })
+        val (awaiting, now) = rows.indices.filter { assigned[it] >= 0 && cost[it][assigned[it]] < CostMatrix.BARRED / 2 }
+            .map { rows[it] to slots[assigned[it]] }.partition { it.second.soon != null }
+        return admit(now.map { (row, slot) -> row to slot.room }) to awaiting.toMap()
     }
 
     /** Binds each job that must stay in one zone to the zone where most of its tasks find room. */
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -14,11 +14,16 @@
     val floor: Priority = Priority.LOW,
     /** What the machine is fetching already: images share its rate. */
     val fetchingGb: Double = 0.0,
+    val fetchGbPerS: Double = 0.0,
+    val soon: List<Soon> = emptyList(),
 ) {
-    fun withFree(free: Resources, images: IntArray = this.images, fetchingGb: Double = this.fetchingGb) =
-        Room(machine, free, type, zone, spot, images, floor, fetchingGb)
+    fun withFree(free: Resources, images: IntArray = this.images, fetchingGb: Double = this.fetchingGb, soon: List<Soon> = this.soon) =
+        Room(machine, free, type, zone, spot, images, floor, fetchingGb, fetchGbPerS, soon)
 }
 
+/** Room that a running task will probably leave in so many seconds, sooner than an image could be fetched. */
+class Soon(val inS: Double, val need: Resources)
+
 /** A team's weight, its running tasks, and how many of all the tasks run. */
 class TeamShare(val weight: Double, val running: Int)
 
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.core.placement.Room
 import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Soon
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.placement.TeamShare
 
@@ -87,6 +88,7 @@
         all(s.rooms) {
             writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
                 .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).amount(it.fetchingGb)
+                .amount(it.fetchGbPerS).all(it.soon) { s -> amount(s.inS).resources(s.need) }
         }
         all(s.teams) { amount(it.weight).writeInt(it.running) }
         writeInt(s.slots)
@@ -99,7 +101,7 @@
     }
 
     private fun Buffer.summary(): Summary {
-        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount()) }
+        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount(), amount(), all { Soon(amount(), resources()) }) }
         val teams = all { TeamShare(amount(), readInt()) }
         val slots = readInt()
         val rows = all {
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -2,7 +2,6 @@
 
 import org.honeyjunction.core.capacity.Bin
 import org.honeyjunction.core.capacity.Expected
-import org.honeyjunction.core.capacity.Leaving
 import org.honeyjunction.core.capacity.Offer
 import org.honeyjunction.core.capacity.Planner
 import org.honeyjunction.core.capacity.Wanted
@@ -10,6 +9,7 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.placement.Row
+import org.honeyjunction.core.placement.Soon
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -36,7 +36,7 @@
         "no spot machine for what may not use it,            4, 0, false, 0,  0, false, 1,",
     )
     fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int, runS: Double?) {
-        val leaving = if (leavesIn > 0) listOf(Leaving(leavesIn, size)) else emptyList()
+        val leaving = if (leavesIn > 0) listOf(Soon(leavesIn, size)) else emptyList()
         val bin = Bin(7, spot, Resources(free * 1.0, free * 1.0, free * 1.0), true, leaving)
         val plan = Planner(types) { refused }.plan(listOf(Wanted(row(0, maySpot), waiting, runS)).filter { it.count > 0 }, listOf(Expected(Wanted(row(0, maySpot), expected), atOnce = true)), listOf(bin), emptyMap())
         assertEquals(machines, plan.rent.values.sum(), name)
--- a/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -9,6 +9,7 @@
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Row
 import org.honeyjunction.core.placement.Running
+import org.honeyjunction.core.placement.Soon
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.placement.TeamShare
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -98,6 +99,27 @@
         assertEquals(expected, round.place(summary(rooms, *rows.toTypedArray())).size, name)
     }
 
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "a slot that has the image is awaited if it is free before a fetch ends, 20, 0, 0, false",
+        "not if the fetch is done first,                                         60, 0, 0, true",
+        "nor after having waited for as long as a fetch,                         20, 51000, 0, true",
+        "nor by a gang,                                                          20, 0, 1, true",
+    )
+    fun `a row whose image is on a busy machine`(name: String, freeInS: Double, waitingMs: Long, gangOf: Int, starts: Boolean) {
+        val busy = Room(0, Resources.NONE, 0, 0, false, intArrayOf(1), fetchGbPerS = 0.1, soon = listOf(Soon(freeInS, gpus(1))))
+        val free = Room(1, gpus(1), 0, 0, false, intArrayOf(), fetchGbPerS = 0.1)
+        val placed = placed(summary(listOf(busy, free), row(1, image = 1, gangOf = gangOf, waitingMs = waitingMs)))
+        assertEquals(if (starts) mapOf((1 to 0) to 1) else emptyMap(), placed, name)
+    }
+
+    @Test
+    fun `one busy slot is awaited by one row, the others start elsewhere`() {
+        val busy = Room(0, Resources.NONE, 0, 0, false, intArrayOf(1), fetchGbPerS = 0.1, soon = listOf(Soon(9.0, gpus(1))))
+        val free = List(4) { Room(it + 1, gpus(1), 0, 0, false, intArrayOf(), fetchGbPerS = 0.1) }
+        assertEquals(3, placed(summary(free + busy, *Array(4) { row(1, it, image = 1) })).size)
+    }
+
     @Test
     fun `higher priority goes first, and what is left takes the rest of the room`() {
         val rooms = listOf(room(0, 4))
