Plans and preemption: what found no room is not sought again; no two plans within half a second

Plans and preemption searched all machines for each of hundreds of waiting jobs, and every arrival caused a plan. Change: once a task found no room, a larger one for the same places is not tried; plans are at least half a period apart.

--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -11,21 +11,22 @@
 
 /** Room that is there, or will be: a machine that is up or booting. */
 class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, leaving: List<Soon> = emptyList()) {
-    private val leaving = ArrayList(leaving)
+    private val leaving = leaving.sortedBy { it.inS }.toMutableList()
     var needed = false
 
     /** Takes room for [need] now; a task of [runS] seconds (null: without end) gives it back, [fromS] seconds from now. */
     fun take(need: Resources, runS: Double?, fromS: Double = 0.0) {
         free -= need
         needed = true
-        if (runS != null) leaving += Soon(fromS + runS, need)
+        if (runS == null) return
+        val at = fromS + runS
+        leaving.add(leaving.indexOfFirst { it.inS > at }.let { if (it < 0) leaving.size else it }, Soon(at, need))
     }
 
     /** When, within [seconds], there is room for [need]; null if there is none. */
     fun freeFor(need: Resources, seconds: Double): Double? {
-        if (leaving.isEmpty()) return null
         var room = free
-        for (l in leaving.sortedBy { it.inS }) {
+        for (l in leaving) {
             if (l.inS > seconds) return null
             room += l.need
             if (need.fitsIn(room)) return l.inS
@@ -50,7 +51,25 @@
  * that are alike are taken together, so that a plan costs what the jobs and machines are, not the tasks.
  */
 class Planner(private val types: Map<Int, MachineType>, private val refused: (Offer) -> Boolean) {
+    /** For these no room was found: nor will there be any for a larger task that may go to the same places. */
+    private class Exhausted {
+        private val sought = ArrayList<Triple<Row, Int?, Double>>()
+
+        fun note(sample: Row, zone: Int?, within: Double = 0.0) {
+            sought += Triple(sample, zone, within)
+        }
+
+        fun covers(sample: Row, zone: Int?, within: Double = 0.0) = sought.any { (before, there, waited) ->
+            (there == null || there == zone) && within <= waited && (before.spot || !sample.spot) && before.need.fitsIn(sample.need) &&
+                sample.zones and before.zones.inv() == 0L && sample.types and before.types.inv() == 0L
+        }
+
+        fun clear() = sought.clear()
+    }
+
     private class Work(bins: List<Bin>, machinesByZone: Map<Int, Int>) {
+        val full = Exhausted()
+        val late = Exhausted()
         val open = ArrayList(bins)
         val zones = HashMap(machinesByZone)
         val rent = LinkedHashMap<Offer, Int>()
@@ -91,8 +110,8 @@
 
     /** Partly used machines first, so that the empty ones can be returned. Returns how many are left over. */
     private fun fill(w: Wanted, zone: Int?, work: Work): Int {
-        if (w.count <= 0) return 0
         val sample = w.sample
+        if (w.count <= 0 || work.full.covers(sample, zone)) return w.count
         var left = w.count
         val bins = work.open.filter { allows(sample, it.offer, zone) && sample.need.fitsIn(it.free) }.sortedWith(
             compareBy<Bin> { it.empty && !it.needed }.thenBy { sample.spot != it.offer.spot }.thenBy { it.free.gpus },
@@ -103,6 +122,7 @@
             repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
+        if (left > 0) work.full.note(sample, zone)
         return left
     }
 
@@ -111,7 +131,10 @@
      * A slot may serve several short tasks, one after the other, in that time.
      */
     private fun await(w: Wanted, count: Int, zone: Int?, work: Work): Int {
+        if (count <= 0 || types.isEmpty()) return count
         var left = count
+        val longest = types.values.maxOf { it.bootS + w.sample.imageGb / it.fetchGbPerS }
+        if (work.late.covers(w.sample, zone, longest)) return count
         for (bin in work.open) {
             if (left <= 0) break
             val type = types[bin.offer.type] ?: continue
@@ -123,6 +146,7 @@
                 left--
             }
         }
+        if (left > 0) work.late.note(w.sample, zone, longest)
         return left
     }
 
@@ -137,6 +161,8 @@
             work.rent.merge(offer, 1, Int::plus)
             work.zones.merge(offer.zone, 1, Int::plus)
             val bin = Bin(-1, offer, types.getValue(offer.type).size, true).also(work.open::add)
+            work.full.clear()
+            work.late.clear()
             val here = minOf(left, room(sample, offer))
             repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -43,6 +43,7 @@
     private val heardFrom = HashMap<String, Long>()
     private var nextRoundAt = startedAt
     private var nextPlanAt = startedAt
+    private var plannedAt = Long.MIN_VALUE / 2
     private var nextPreemptionAt = startedAt
     private val makingRoom = MakingRoom(state, queue, fleet)
     private val consolidation = Consolidation(state, fleet)
@@ -142,7 +143,7 @@
         if (job.stage != JobStage.ACTIVE) return
         fleet.noteArrival(job, now)
         nextRoundAt = minOf(nextRoundAt, now + NEW_JOB_MS)
-        nextPlanAt = minOf(nextPlanAt, now + NEW_JOB_MS)
+        nextPlanAt = minOf(nextPlanAt, maxOf(now + NEW_JOB_MS, plannedAt + tuning.capacityMs / 2))
     }
 
     fun cancel(id: String, now: Long): JobStage? {
@@ -196,6 +197,7 @@
             if (summary.rows.isNotEmpty()) starts.accept(round.place(summary), now)
         }
         if (now >= nextPlanAt) {
+            plannedAt = now
             nextPlanAt = now + tuning.capacityMs
             fleet.plan(now)
             consolidation.step(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
@@ -35,20 +35,29 @@
         val sites = state.machines.filter { it.usable && it.type >= 0 }.map { Site(it, now) }
         val unmet = fleet.unmet?.unmet.orEmpty().mapTo(HashSet()) { it.job }
         var left = MAX_ROWS
+        val futile = ArrayList<Row>()
         for (d in demands) {
             if (left <= 0) break
+            // Where a task of the same standing found no room and nothing to stop, a larger one will not either.
+            if (futile.any { d.sample.noEasierThan(it) }) continue
             val count = if (d.sample.gangOf > 0) d.count else minOf(d.count, left)
             left -= count
-            makeRoom(d.sample, count, sites, d.sample.job in unmet, now)
+            if (!makeRoom(d.sample, count, sites, d.sample.job in unmet, now)) futile += d.sample
         }
     }
 
-    /** For all of a gang or for as many tasks as there can be; a job of one zone gets it where least is lost. */
-    private fun makeRoom(row: Row, count: Int, sites: List<Site>, unmet: Boolean, now: Long) {
+    private fun Row.noEasierThan(other: Row) = team == other.team && priority == other.priority && guaranteed == other.guaranteed &&
+        other.spot == spot && other.zones == zones && other.types == types && gangOf >= other.gangOf && other.need.fitsIn(need)
+
+    /**
+     * For all of a gang or for as many tasks as there can be; a job of one zone gets it where least is lost. False if
+     * there was none.
+     */
+    private fun makeRoom(row: Row, count: Int, sites: List<Site>, unmet: Boolean, now: Long): Boolean {
         val plans = if (!row.oneZone) listOf(plan(row, count, sites, unmet))
         else sites.groupBy { it.room.zone }.map { (_, there) -> plan(row, count, there, unmet) }
         val best = plans.filter { it.size == count || row.gangOf == 0 }
-            .maxWithOrNull(compareBy<List<Step>> { it.size }.thenByDescending { steps -> steps.sumOf { it.lostS } }) ?: return
+            .maxWithOrNull(compareBy<List<Step>> { it.size }.thenByDescending { steps -> steps.sumOf { it.lostS } }) ?: return false
         for (step in best) {
             val site = step.site
             site.running.removeAll(step.victims.toSet())
@@ -58,6 +67,7 @@
             step.victims.forEach { it.of.task.yieldPlace() }
             hold(site.machine, row, now)
         }
+        return best.isNotEmpty()
     }
 
     private class Step(val site: Site, val victims: List<Running<Placement>>, val lostS: Double)
