Tasks of one image side by side, late jobs last, no renting ahead for arrays

Change: where all images must be fetched, one slot a machine and pass; the busiest sixth of the forecast's window is left out; arrays' machines are kept, not rented, ahead of them; few large rentals; of equal standing, jobs that can't meet their deadline go last for four deadlines' time.

--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -13,6 +13,7 @@
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
 import org.honeyjunction.core.control.Listed
+import org.honeyjunction.core.control.census
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Connections
@@ -54,6 +55,14 @@
         scope.launch { tickAll() }
         scope.launch { followJobs(jobsFrom) }
         scope.launch { listAll() }
+        scope.launch { tellCensus() }
+    }
+
+    private suspend fun tellCensus() {
+        while (log.isInfoEnabled) {
+            delay(CENSUS_MS)
+            log.info("term {}: {}", term.number, holder.state.census())
+        }
     }
 
     fun renewed(until: Long) {
@@ -272,6 +281,7 @@
     private companion object {
         const val TICK_MS = 100L
         const val LIST_MS = 3_000L
+        const val CENSUS_MS = 10_000L
         const val WATCH_MS = 20_000L
         const val RETRY_MS = 300L
         const val SEND_MS = 2_000L
--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -36,8 +36,8 @@
 }
 
 /**
- * Tasks like [sample] of which [count] are expected to arrive while a machine boots. If they are to start at once,
- * room must be ready for them; the others can have the room of tasks that end meanwhile.
+ * Tasks that are expected to arrive while a machine boots. If they are to start at once, room must be ready for them;
+ * for the others machines are kept, but none is rented before they are there.
  */
 class Expected(val wanted: Wanted, val atOnce: Boolean)
 
@@ -84,9 +84,8 @@
             if (buy(w, left, zone, work) > 0) unmet += w.sample
         }
         for (e in expected) {
-            var left = fill(e.wanted, null, work)
-            if (!e.atOnce) left = await(e.wanted, left, null, work)
-            buy(e.wanted, left, null, work)
+            val left = fill(e.wanted, null, work)
+            if (e.atOnce) buy(e.wanted, left, null, work)
         }
         return Plan(work.rent, work.open.filter { it.needed && it.machine >= 0 }.mapTo(HashSet()) { it.machine }, unmet)
     }
@@ -156,6 +155,9 @@
         while (left > 0) {
             val offer = offers(sample, zone).minWithOrNull(
                 compareBy<Offer> { types.getValue(it.type).price(it.spot) / room(sample, it) }
+                    // Few large requests rather than many small ones, since the cloud takes only so many a second;
+                    // but what must be spread over zones is rented in turn.
+                    .thenByDescending { if (sample.zoneRoom == null) work.rent.getOrDefault(it, 0).let { n -> if (n < LARGE) n else 0 } else 0 }
                     .thenBy { work.zones.getOrDefault(it.zone, 0) },
             ) ?: return left
             work.rent.merge(offer, 1, Int::plus)
@@ -183,6 +185,7 @@
     private companion object {
         /** An estimate of next to nothing must not make one slot do for everything. */
         const val SHORTEST_S = 5.0
+        const val LARGE = 40
     }
 }
 
@@ -196,12 +199,22 @@
         arrivals.getOrPut(jobClass, ::ArrayDeque).addLast(Arrival(now, wanted))
     }
 
-    /** A short history is not stretched: a burst at the start says little of what follows. */
+    /**
+     * A short history is not stretched, and the busiest part of the window is left out: a burst, as at a start, says
+     * little of what follows.
+     */
     fun expected(now: Long, horizonMs: Long, factor: Double, atOnce: (Int) -> Boolean): List<Expected> =
         arrivals.entries.mapNotNull { (jobClass, recent) ->
             while (recent.isNotEmpty() && recent.first().at < now - windowMs) recent.removeFirst()
             val latest = recent.lastOrNull() ?: return@mapNotNull null
-            val count = ceil(recent.sumOf { it.wanted.count } * factor * horizonMs / windowMs).toInt()
+            val parts = IntArray(PARTS)
+            recent.forEach { parts[((now - it.at) * PARTS / windowMs).toInt().coerceIn(0, PARTS - 1)] += it.wanted.count }
+            val usual = (parts.sum() - parts.max()) * PARTS.toDouble() / (PARTS - 1)
+            val count = ceil(usual * factor * horizonMs / windowMs).toInt()
             Expected(Wanted(latest.wanted.sample, count, latest.wanted.runS), atOnce(jobClass))
         }.sortedByDescending { it.wanted.sample.priority }
+
+    private companion object {
+        const val PARTS = 6
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/core/control/Census.kt
@@ -0,0 +1,23 @@
+package org.honeyjunction.core.control
+
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Phase
+
+/** One line for the log: machines by phase, what their tasks are doing, and what waits. */
+fun ClusterState.census(): String {
+    val phases = machines.groupingBy { it.phase }.eachCount()
+    val kinds = JobKind.entries.associateWith { kind ->
+        val gpus = HashMap<Phase, Double>()
+        for (m in machines) for (p in m.placements.values) {
+            if (p.task.job.spec.kind == kind) gpus.merge(p.phase, p.task.job.spec.need.gpus, Double::plus)
+        }
+        gpus.toSortedMap()
+    }
+    val up = machines.filter { it.phase == MachinePhase.UP }
+    val empty = up.count { it.placements.isEmpty() }
+    val free = up.sumOf { room(it).gpus }
+    val waiting = JobKind.entries.associateWith { kind -> active.values.filter { it.spec.kind == kind }.sumOf { it.waiting.cardinality() } }
+    return "machines ${phases.toSortedMap()} (spot ${machines.count { it.spot }}), $empty empty, accelerators free $free, in use $kinds, " +
+        "waiting $waiting, jobs ${active.size}"
+}
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -27,7 +27,7 @@
         val left = HashMap<Int, Resources>()
         return state.active.values
             .filter { !it.waiting.isEmpty && it.startable && it.notBefore <= now && owner(it) }
-            .sortedWith(compareByDescending<Job> { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { it.createdAt })
+            .sortedWith(compareByDescending<Job> { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { late(it, now) }.thenBy { it.createdAt })
             .mapNotNull { demand(it, now, left) }
     }
 
@@ -50,11 +50,21 @@
         val sample = sample(job).copy(
             task = task.number, waitingMs = now - task.waitingSince, zones = state.zonesNow(job, null) and allZones(job),
             oneZone = job.spec.oneZone && job.spec.tasks > 1, gangOf = if (gang) waiting else 0, guaranteed = job.guaranteed,
-            zoneRoom = zoneRoom,
+            zoneRoom = zoneRoom, late = late(job, now),
         )
         return Wanted(sample, count, runS(job))
     }
 
+    /**
+     * Whether [job] can't meet its deadline any more, so that starting it first would only make others late too. After
+     * some deadlines' time it takes its place by age again, and can't be overtaken for ever.
+     */
+    private fun late(job: Job, now: Long): Boolean {
+        val deadlineS = job.spec.deadlineS ?: return false
+        val ageS = (now - job.createdAt) / 1000.0
+        return ageS + job.spec.estimateS > deadlineS && ageS < deadlineS * OVERTAKEN
+    }
+
     /** The largest count up to [limit] that [fits], which holds for all smaller ones too. */
     private inline fun most(limit: Int, fits: (Int) -> Boolean): Int {
         var low = 0
@@ -168,6 +178,7 @@
 
     private companion object {
         const val MARK_MS = 400L
+        const val OVERTAKEN = 4
         const val OVERDUE = 0.3
         const val MAX_AWAIT_S = 60.0
     }
--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -27,8 +27,13 @@
         // Tasks of a job are alike: one row of each says how many fit.
         val samples = rows.distinctBy { it.job }
         val all = summary.rooms.flatMap { room ->
-            val fits = samples.filter { it.allows(room) }.maxOfOrNull { it.need.countIn(room.free) } ?: 0
-            List(min(fits, rows.size)) { Slot(room, it) }
+            val allowed = samples.filter { it.allows(room) }
+            val fits = allowed.maxOfOrNull { it.need.countIn(room.free) } ?: 0
+            // Where every image would have to be fetched, one slot a pass: the next pass knows which image is on its way,
+            // so that the tasks of one image come to lie on one machine and one fetch serves them. Jobs that are placed
+            // as a whole need all slots at once.
+            val atOnce = allowed.any { it.image in room.images || it.gangOf > 0 || it.oneZone || it.zoneRoom != null }
+            List(min(if (atOnce) fits else min(fits, 1), rows.size)) { Slot(room, it) }
         }
         val soon = summary.rooms.flatMap { room -> room.soon.map { Slot(room.withFree(room.free + it.need), 0, it) } }
             .filter { slot -> samples.any { mayAwait(it, slot) } }.sortedBy { it.soon!!.inS }.take(settings.maxColumns / 2)
@@ -48,7 +53,7 @@
         val costs = summary.teams.indices.map(::groupCost)
         return rows.sortedWith(
             compareByDescending<Row> { it.priority }.thenByDescending { it.guaranteed }
-                .thenBy { costs[it.team] }.thenByDescending { it.waitingMs },
+                .thenBy { it.late }.thenBy { costs[it.team] }.thenByDescending { it.waitingMs },
         )
     }
 
@@ -65,7 +70,7 @@
         }
         // Extensions: priority outweighs both costs; waiting lowers the cost, as the paper suggests against starvation.
         rows.forEachIndexed { i, row ->
-            val level = (Priority.PRODUCTION.ordinal - row.priority.ordinal) * 2 + if (row.guaranteed) 0 else 1
+            val level = (Priority.PRODUCTION.ordinal - row.priority.ordinal) * 4 + (if (row.guaranteed) 0 else 2) + if (row.late) 1 else 0
             result[i] += settings.priorityStep * level - min(settings.beta, settings.agingPerS * row.waitingMs / 1000)
         }
         return result
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -87,6 +87,6 @@
     }
 
     private companion object {
-        const val MAX_PASSES = 6
+        const val MAX_PASSES = 12
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -45,6 +45,8 @@
     val guaranteed: Boolean,
     /** How many more of the job's tasks each zone may take; null where nothing bounds them. */
     val zoneRoom: List<Int>? = null,
+    /** Can't meet its deadline any more: those of its standing that still can go first. */
+    val late: Boolean = false,
 ) {
     fun allows(room: Room): Boolean = allows(room.type, room.zone, room.spot, room.floor, room.free)
 
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -96,7 +96,7 @@
             writeInt(it.job).writeInt(it.task).writeInt(it.team).writeByte(it.priority.ordinal).writeLong(it.waitingMs)
                 .resources(it.need).writeInt(it.image).amount(it.imageGb).writeLong(it.zones).writeLong(it.types)
                 .flag(it.spot).flag(it.oneZone).writeInt(it.gangOf).flag(it.guaranteed).flag(it.zoneRoom != null)
-                .all(it.zoneRoom.orEmpty()) { room -> writeInt(room) }
+                .all(it.zoneRoom.orEmpty()) { room -> writeInt(room) }.flag(it.late)
         }
     }
 
@@ -107,7 +107,7 @@
         val rows = all {
             Row(
                 readInt(), readInt(), readInt(), priority(), readLong(), resources(), readInt(), amount(), readLong(),
-                readLong(), flag(), flag(), readInt(), flag(), flag().let { bound -> all { readInt() }.takeIf { bound } },
+                readLong(), flag(), flag(), readInt(), flag(), flag().let { bound -> all { readInt() }.takeIf { bound } }, flag(),
             )
         }
         return Summary(rooms, teams, slots, rows)
