Pages go before other writes, the nodes share the changes, one fetch at a time

Three nodes each used 0.8 of the allowed changes. Change: pages are written before submissions and final records; holder 0.65, the others 0.3 of the changes; a reservation's time starts anew once it is recorded; submissions are refused when they would wait 2 s. Besides, a machine begins no second fetch, since fetches share its rate. Ruled out: processor time (9%), sizes of values, refused transactions.

--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -158,7 +158,7 @@
 
     private suspend fun commit(e: Effect.Commit) {
         val fence = Condition(Keys.LEAD, term.leadVersion)
-        val outcome = when (val written = state.commit(listOf(fence) + e.changes.mapNotNull(::condition), e.changes.flatMap(::writes))) {
+        val outcome = when (val written = write(listOf(fence) + e.changes.mapNotNull(::condition), e.changes)) {
             is WriteOutcome.Applied -> CommitOutcome.Applied(written.revision)
             WriteOutcome.Refused -> explain(e.changes)
             WriteOutcome.Unknown -> e.changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
@@ -168,6 +168,10 @@
         settle()
     }
 
+    /** Starts wait for their page, and pages are paced: they go before the rest. */
+    private suspend fun write(conditions: List<Condition>, changes: List<Change>): WriteOutcome =
+        state.commit(conditions, changes.flatMap(::writes), before = changes.any { it is Change.Page })
+
     private fun condition(change: Change): Condition? = when (change) {
         is Change.Page -> Condition(Keys.page(change.record.page), change.record.version)
         is Change.JobOver -> Condition(Keys.job(change.job), change.version)
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -178,6 +178,7 @@
         )
         val current = HolderDriver(term, holder, loop, clock, state, cloud) { reason -> stepDown(reason) }
         driver = current
+        state.lead(true)
         heldSince = clock.steady()
         current.start(jobsFrom)
         log.info(
@@ -192,6 +193,7 @@
         val current = driver ?: return
         log.warn("stepping down from term {}: {}", current.term.number, reason)
         driver = null
+        state.lead(false)
         current.stop()
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -99,7 +99,7 @@
         private const val PAGE_FILL = 0.9
 
         /** The ledger's part of the changes that the state service allows. */
-        private const val PAGE_SHARE = 0.4
+        private const val PAGE_SHARE = 0.3
         private const val MIN_PAGE_GAP_MS = 50L
 
         /** Command messages on their way, as a part of all sockets. */
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -44,6 +44,9 @@
     private val commits = HashMap<Long, (CommitOutcome) -> Unit>()
     private var sequence = 0L
 
+    /** When the latest event came. */
+    var now = Long.MIN_VALUE / 2
+
     /** Until then nobody else can hold the term. */
     var leaseValidUntil = Long.MIN_VALUE
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -127,6 +127,7 @@
     fun commandUnanswered(id: Long, now: Long) = starts.unanswered(id, now)
 
     fun committed(id: Long, outcome: CommitOutcome, now: Long) {
+        state.now = now
         state.committed(id, outcome)
         settle(now)
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
@@ -98,7 +98,7 @@
                 is CommitOutcome.Applied -> {
                     page.version = outcome.version
                     page.starts += newStarts
-                    newStarts.forEach { if (!it.gone && it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, it.since) }
+                    newStarts.forEach { if (!it.gone && it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, state.now) }
                     newDone.forEach { page.done.getOrPut(it.job, ::ArrayList) += it }
                     newDone.forEach { it.doneDurable = true }
                 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -153,7 +153,7 @@
     }
 
     fun room(m: Machine, now: Long, soon: List<Soon> = emptyList()) = Room(
-        m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m),
+        m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m, now),
         state.cluster.types[m.type]?.fetchGbPerS ?: 0.0, soon,
     )
 
@@ -171,14 +171,25 @@
         return leaving(m, now).filter { it.inS <= MAX_AWAIT_S }
     }
 
-    private fun fetchingGb(m: Machine): Double = m.placements.values.filter { it.phase <= Phase.FETCHING && it.phase != Phase.UNHEARD }
-        .distinctBy { it.task.job.image }.sumOf { it.task.job.spec.imageGb }
+    /** What [m] has still to fetch, as far as can be told from how long it has been fetching. */
+    private fun fetchingGb(m: Machine, now: Long): Double {
+        val fetches = m.placements.values.filter { it.phase <= Phase.FETCHING && it.phase != Phase.UNHEARD }.distinctBy { it.task.job.image }
+        if (fetches.isEmpty()) return 0.0
+        val rate = (state.cluster.types[m.type]?.fetchGbPerS ?: 0.0) / fetches.size
+        return fetches.sumOf { p ->
+            val fetched = if (p.phase == Phase.FETCHING) (now - p.since) / 1000.0 * rate else 0.0
+            maxOf(p.task.job.spec.imageGb - fetched, p.task.job.spec.imageGb * LEAST_LEFT)
+        }
+    }
 
     private fun weight(r: Resources) = if (r.gpus > 0) r.gpus else r.cpus
 
     private companion object {
         const val MARK_MS = 400L
         const val OVERTAKEN = 4
+
+        /** A fetch that takes longer than it should is taken to have this part left. */
+        const val LEAST_LEFT = 0.1
         const val OVERDUE = 0.3
         const val MAX_AWAIT_S = 60.0
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -87,6 +87,8 @@
         if (machine.placements.values.none { it.phase <= Phase.RECORDED }) return
         for (p in machine.placements.values.toList()) {
             if (p.phase > Phase.RECORDED || p.gone) continue
+            // Counted anew from the record on: what took long to be written must not be given up for that, only to be
+            // written again.
             val late = now - p.since > RESERVE_MS
             if (late || p.stopping || !p.task.job.startable || !machine.usable) {
                 val job = p.task.job
@@ -164,7 +166,7 @@
     }
 
     private companion object {
-        const val RESERVE_MS = 4_000L
+        const val RESERVE_MS = 6_000L
         const val STOP_AGAIN_MS = 1_500L
         const val RETRY_MS = 500L
     }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -19,8 +19,10 @@
             val started = taken.mapTo(HashSet()) { it.job to it.task }
             awaiting.keys.mapTo(started) { it.job to it.task }
             val promised = awaiting.values.mapNotNullTo(HashSet()) { it.soon }
+            val awaited = awaiting.entries.filter { it.value.soon == null }.groupBy({ it.value.room.machine }, { it.key.need })
             rooms = rooms.map { r ->
-                val room = if (r.soon.any { it in promised }) r.withFree(r.free, soon = r.soon.filter { it !in promised }) else r
+                val left = awaited[r.machine].orEmpty().fold(r.free) { free, need -> free - need }
+                val room = r.withFree(left, soon = r.soon.filter { it !in promised })
                 val here = used[room.machine] ?: return@map room
                 val rows = here.map { byTask.getValue(it.job to it.task) }
                 val free = rows.fold(room.free) { free, row -> free - row.need }
@@ -37,7 +39,7 @@
         return chosen
     }
 
-    /** What is to start now, and the rows for which waiting for a slot with their image is cheaper than fetching it. */
+    /** What is to start now, and the rows that had better wait for the slot that they were assigned. */
     private fun pass(summary: Summary): Pair<List<Proposal>, Map<Row, Slot>> {
         val matrix = CostMatrix(summary, settings)
         val ordered = matrix.order(summary.rows)
@@ -50,10 +52,16 @@
         val cost = Array(rows.size) { r -> DoubleArray(slots.size) { c -> matrix.cost(rows[r], slots[c], fairness[r]) } }
         val assigned = Hungarian.solve(cost)
         val (awaiting, now) = rows.indices.filter { assigned[it] >= 0 && cost[it][assigned[it]] < CostMatrix.BARRED / 2 }
-            .map { rows[it] to slots[assigned[it]] }.partition { it.second.soon != null }
+            .map { rows[it] to slots[assigned[it]] }.partition { (row, slot) -> slot.soon != null || row.fetchesAfter(slot.room) }
         return admit(now.map { (row, slot) -> row to slot.room }) to awaiting.toMap()
     }
 
+    /**
+     * Images fetched at the same time share a machine's rate: a second fetch would be ready no sooner than if it began
+     * after the first, and would only delay that one.
+     */
+    private fun Row.fetchesAfter(room: Room) = gangOf == 0 && room.fetchingGb > 0 && image !in room.images
+
     /** Binds each job that must stay in one zone to the zone where most of its tasks find room. */
     private fun chooseZones(rows: List<Row>, rooms: List<Room>): List<Row> {
         val zoneOf = rows.filter { it.oneZone }.groupBy { it.job }.mapValues { (_, tasks) ->
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -38,15 +38,25 @@
 
     private val http = HttpClient(Connections(loop, most = 6), address, bodyLimit = 16 * 1024 * 1024)
     private val requests = Budget(limits.requestsPerS * SHARE, limits.requestsPerS * SHARE, clock)
-    private val writes = Budget(limits.writesPerS * SHARE, limits.writesPerS * SHARE, clock)
-    private val pending = Channel<Pending>(MAX_PENDING)
+    private val writes = Budget(limits.writesPerS, limits.writesPerS * BURST, clock)
+    private val first = ArrayDeque<Pending>()
+    private val pending = ArrayDeque<Pending>()
+    private val arrived = Channel<Unit>(Channel.CONFLATED)
     private var queued = 0
 
     init {
+        lead(false)
         loop.scope.launch { writeAll() }
     }
 
-    val congested: Boolean get() = queued > limits.writesPerS * CONGESTED_S
+    /** What is written now would take longer than users wait. */
+    val congested: Boolean get() = queued > writes.perS * CONGESTED_S
+
+    /** The holder of the term writes most; together the nodes keep to what the state service allows. */
+    fun lead(leading: Boolean) {
+        val others = limits.nodes - 1
+        writes.setRate(limits.writesPerS * if (leading || others == 0) LEADER_SHARE else FOLLOWERS_SHARE / others)
+    }
 
     suspend fun get(key: String): Entry {
         val r = ask("GET", "/store/$key")
@@ -97,34 +107,41 @@
     }
 
     /** Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. */
-    suspend fun commit(conditions: List<Condition>, writes: List<Write>): WriteOutcome {
+    suspend fun commit(conditions: List<Condition>, writes: List<Write>, before: Boolean = false): WriteOutcome {
         val p = Pending(conditions, writes, CompletableDeferred())
-        if (pending.trySend(p).isFailure) return WriteOutcome.Unknown
+        if (pending.size >= MAX_PENDING) return WriteOutcome.Unknown
+        (if (before) first else pending).addLast(p)
         queued += writes.size
+        arrived.trySend(Unit)
         return p.result.await()
     }
 
+    private fun next(): ArrayDeque<Pending>? = first.takeIf { it.isNotEmpty() } ?: pending.takeIf { it.isNotEmpty() }
+
     private suspend fun writeAll() {
-        var carried: Pending? = null
         while (true) {
-            val batch = arrayListOf(carried ?: pending.receive())
-            carried = null
+            val oldest = next()
+            if (oldest == null) {
+                arrived.receive()
+                continue
+            }
+            writes.take(oldest.first().writes.size)
+            // What came meanwhile may go first, or along.
+            val batch = arrayListOf(next()!!.removeFirst())
             val keys = batch[0].writes.mapTo(HashSet()) { it.key }
             while (true) {
-                val next = pending.tryReceive().getOrNull() ?: break
+                val queue = next() ?: break
+                val next = queue.first()
                 val fits = batch.sumOf { it.writes.size } + next.writes.size <= limits.transactionWrites &&
                     batch.sumOf { it.bytes } + next.bytes <= MAX_BYTES &&
                     batch.size < MAX_BATCH && next.writes.none { it.key in keys }
-                if (!fits) {
-                    carried = next
-                    break
-                }
-                batch += next
+                if (!fits) break
+                batch += queue.removeFirst()
                 next.writes.mapTo(keys) { it.key }
             }
             // Several transactions may be on their way at once; a key in two of them is guarded by its conditions.
-            val count = batch.sumOf { it.writes.size }
-            writes.take(count)
+            val more = batch.sumOf { it.writes.size } - batch[0].writes.size
+            if (more > 0) writes.take(more)
             loop.scope.launch { write(batch) }
         }
     }
@@ -198,6 +215,11 @@
         const val WATCH_SLACK_MS = 15_000L
         const val MAX_TRIES = 4
         const val BUSY_MS = 120L
-        const val CONGESTED_S = 3.0
+        const val CONGESTED_S = 2.0
+
+        /** Shares of the changes a second; a part is left for terms, leases and what the clocks differ by. */
+        const val LEADER_SHARE = 0.65
+        const val FOLLOWERS_SHARE = 0.3
+        const val BURST = 0.4
     }
 }
--- a/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -113,6 +113,19 @@
         assertEquals(if (starts) mapOf((1 to 0) to 1) else emptyMap(), placed, name)
     }
 
+    @Test
+    fun `a machine that fetches an image starts no second fetch, but takes tasks of the same image`() {
+        val fetching = Room(0, gpus(3), 0, 0, false, intArrayOf(1), fetchingGb = 4.0, fetchGbPerS = 0.1)
+        assertEquals(mapOf((1 to 0) to 0), placed(summary(listOf(fetching), row(1, image = 1), row(2, image = 2))))
+    }
+
+    @Test
+    fun `tasks of one image come to lie on one machine, since one fetch serves them all`() {
+        val rows = (0 until 8).map { row(it % 2 + 1, it, image = it % 2) }
+        val byMachine = round.place(summary(listOf(room(0, 4), room(1, 4)), *rows.toTypedArray())).groupBy { it.machine }
+        assertEquals(listOf(1, 1), byMachine.values.map { there -> there.distinctBy { it.job }.size })
+    }
+
     @Test
     fun `one busy slot is awaited by one row, the others start elsewhere`() {
         val busy = Room(0, Resources.NONE, 0, 0, false, intArrayOf(1), fetchGbPerS = 0.1, soon = listOf(Soon(9.0, gpus(1))))
@@ -123,7 +136,7 @@
     @Test
     fun `higher priority goes first, and what is left takes the rest of the room`() {
         val rooms = listOf(room(0, 4))
-        val low = (0 until 4).map { row(1, it, priority = Priority.LOW) }
+        val low = (0 until 4).map { row(1, it, image = 2, priority = Priority.LOW) }
         val high = row(2, gpus = 3, priority = Priority.PRODUCTION)
         val jobs = round.place(summary(rooms, high, *low.toTypedArray())).map { it.job }.sorted()
         assertEquals(listOf(1, 2), jobs)
