--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -260,7 +260,10 @@
                     log.info("rented {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
                     holder.rented(e.request, result.machines, clock.steady())
                 }
-                CloudClient.NoCapacity -> holder.rentalRefused(e.request, clock.steady())
+                CloudClient.NoCapacity -> {
+                    log.info("no {} in {} (spot: {}): {} asked", e.type, e.zone, e.offer.spot, e.count)
+                    holder.rentalRefused(e.request, clock.steady())
+                }
             }
         } catch (x: IOException) {
             log.debug("renting: {}", x.message)
--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -41,7 +41,8 @@
  */
 class Expected(val wanted: Wanted, val atOnce: Boolean)
 
-class Plan(val rent: Map<Offer, Int>, val keep: Set<Int>, val unmet: List<Row>)
+/** [held]: empty machines to be kept for a job whose tasks need them whole. */
+class Plan(val rent: Map<Offer, Int>, val keep: Set<Int>, val unmet: List<Row>, val held: Map<Int, Int>)
 
 /** So many tasks like [sample] that wait, each of which will run for [runS] seconds by its owner's estimate; null: for ever. */
 class Wanted(val sample: Row, val count: Int, val runS: Double? = null)
@@ -73,12 +74,14 @@
         val open = ArrayList(bins)
         val zones = HashMap(machinesByZone)
         val rent = LinkedHashMap<Offer, Int>()
+        val held = HashMap<Int, Int>()
     }
 
     fun plan(waiting: List<Wanted>, expected: List<Expected>, bins: List<Bin>, machinesByZone: Map<Int, Int>): Plan {
         val work = Work(bins, machinesByZone)
         val unmet = ArrayList<Row>()
-        for (w in waiting) {
+        // Of one priority, what needs machines as a whole goes first: anything else would break them up.
+        for (w in waiting.sortedWith(compareByDescending<Wanted> { it.sample.priority }.thenByDescending { it.sample.gangOf > 0 })) {
             val zone = if (w.sample.oneZone) bestZone(w, work) else null
             val left = await(w, fill(w, zone, work), zone, work)
             if (buy(w, left, zone, work) > 0) unmet += w.sample
@@ -87,7 +90,7 @@
             val left = fill(e.wanted, null, work)
             if (e.atOnce) buy(e.wanted, left, null, work)
         }
-        return Plan(work.rent, work.open.filter { it.needed && it.machine >= 0 }.mapTo(HashSet()) { it.machine }, unmet)
+        return Plan(work.rent, work.open.filter { it.needed && it.machine >= 0 }.mapTo(HashSet()) { it.machine }, unmet, work.held)
     }
 
     /** The zone that has room for most of a job that must stay in one; among equals, one where the rest can be rented. */
@@ -118,6 +121,7 @@
         for (bin in bins) {
             if (left == 0) break
             val here = minOf(left, sample.need.countIn(bin.free))
+            if (bin.empty && !bin.needed && bin.machine >= 0 && sample.gangOf > 0) work.held[bin.machine] = sample.job
             repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -189,6 +189,9 @@
     fun room(machine: Machine): Resources =
         (cluster.types[machine.type]?.size ?: Resources.NONE) - machine.used
 
+    /** The job that [machine] is kept for, while that job still waits. */
+    fun heldFor(machine: Machine, now: Long): Job? = jobAt(machine.heldForAt(now))?.takeIf { it.startable && !it.waiting.isEmpty }
+
     fun commit(changes: List<Change>, then: (CommitOutcome) -> Unit) {
         val id = nextSequence()
         commits[id] = then
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -134,6 +134,7 @@
         val plan = Planner(state.cluster.types) { now < refusedUntil.getOrDefault(it, 0L) }
             .plan(queue.demands(now), expected(now), bins, zones)
         unmet = plan
+        plan.held.forEach { (machine, job) -> state.machineAt(machine)?.hold(job, now + HOLD_PERIODS * state.tuning.capacityMs) }
         plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
         for (m in state.machines) {
             val idle = m.usable && m.placements.isEmpty() && m.idleSince != Long.MIN_VALUE && now - m.idleSince > state.tuning.idleMs
@@ -217,5 +218,6 @@
         const val MAX_RELEASE = 100
         const val MAX_RENT = 50
         const val RETRY_MS = 1_000L
+        const val HOLD_PERIODS = 3
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -5,7 +5,9 @@
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
+import org.honeyjunction.core.model.Names
 import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.model.mayUse
@@ -155,6 +157,7 @@
     fun room(m: Machine, now: Long, soon: List<Soon> = emptyList()) = Room(
         m.index, state.room(m), m.type, m.zone, m.spot, m.images.keys.toIntArray(), m.floorAt(now), fetchingGb(m, now),
         state.cluster.types[m.type]?.fetchGbPerS ?: 0.0, soon,
+        state.heldFor(m, now)?.index ?: Names.ABSENT, state.heldFor(m, now)?.spec?.priority ?: Priority.LOW,
     )
 
     /** When the tasks of [m] may end, by their owners' estimates; one that has outlasted its own goes on for a while. */
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -56,6 +56,7 @@
         val task = job.tasks.getOrNull(proposal.task) ?: return null
         val machine = state.machineAt(proposal.machine) ?: return null
         if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
+        if (state.heldFor(machine, now).let { it != null && it !== job && job.spec.priority <= it.spec.priority }) return null
         if (job.spec.priority < machine.floorAt(now) || !mayRun(job, task, machine)) return null
         if (!job.spec.need.fitsIn(state.room(machine))) return null
         if (!state.cluster.teams[job.team].allows(state.usage(job.team) + job.spec.need)) return null
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -54,6 +54,17 @@
     var floor = Priority.LOW
     var floorUntil = Long.MIN_VALUE
 
+    /** An empty machine that is kept for this job, which needs machines as a whole. */
+    private var heldFor = Names.ABSENT
+    private var heldUntil = Long.MIN_VALUE
+
+    fun hold(job: Int, until: Long) {
+        heldFor = job
+        heldUntil = until
+    }
+
+    fun heldForAt(now: Long) = if (now < heldUntil) heldFor else Names.ABSENT
+
     fun floorAt(now: Long) = if (now < floorUntil) floor else Priority.LOW
 
     val usable get() = phase == MachinePhase.UP
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -78,7 +78,8 @@
     private fun admit(pairs: List<Pair<Row, Room>>): List<Proposal> {
         val free = HashMap<Int, Resources>()
         val zoneUse = HashMap<Pair<Int, Int>, Int>()
-        val fitting = pairs.filter { (row, room) ->
+        // Gangs first: of one that is broken up by a neighbour nothing would start.
+        val fitting = pairs.sortedByDescending { (row, _) -> row.gangOf > 0 }.filter { (row, room) ->
             val left = free.getOrDefault(room.machine, room.free)
             val inZone = zoneUse.getOrDefault(row.job to room.zone, 0)
             val bound = row.zoneRoom
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -16,9 +16,12 @@
     val fetchingGb: Double = 0.0,
     val fetchGbPerS: Double = 0.0,
     val soon: List<Soon> = emptyList(),
+    /** The job that the machine is kept for; higher priorities may use it all the same. Below 0: none. */
+    val heldFor: Int = -1,
+    val heldPriority: Priority = Priority.LOW,
 ) {
     fun withFree(free: Resources, images: IntArray = this.images, fetchingGb: Double = this.fetchingGb, soon: List<Soon> = this.soon) =
-        Room(machine, free, type, zone, spot, images, floor, fetchingGb, fetchGbPerS, soon)
+        Room(machine, free, type, zone, spot, images, floor, fetchingGb, fetchGbPerS, soon, heldFor, heldPriority)
 }
 
 /** Room that a running task will probably leave in so many seconds, sooner than an image could be fetched. */
@@ -48,7 +51,8 @@
     /** Can't meet its deadline any more: those of its standing that still can go first. */
     val late: Boolean = false,
 ) {
-    fun allows(room: Room): Boolean = allows(room.type, room.zone, room.spot, room.floor, room.free)
+    fun allows(room: Room): Boolean = (room.heldFor < 0 || room.heldFor == job || priority > room.heldPriority) &&
+        allows(room.type, room.zone, room.spot, room.floor, room.free)
 
     fun allows(type: Int, zone: Int, spotMachine: Boolean, floor: Priority, free: Resources): Boolean =
         (zones shr zone) and 1L != 0L && (types shr type) and 1L != 0L &&
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -89,6 +89,7 @@
             writeInt(it.machine).resources(it.free).writeInt(it.type).writeInt(it.zone).flag(it.spot)
                 .all(it.images.asList()) { image -> writeInt(image) }.writeByte(it.floor.ordinal).amount(it.fetchingGb)
                 .amount(it.fetchGbPerS).all(it.soon) { s -> amount(s.inS).resources(s.need) }
+                .writeInt(it.heldFor).writeByte(it.heldPriority.ordinal)
         }
         all(s.teams) { amount(it.weight).writeInt(it.running) }
         writeInt(s.slots)
@@ -101,7 +102,12 @@
     }
 
     private fun Buffer.summary(): Summary {
-        val rooms = all { Room(readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount(), amount(), all { Soon(amount(), resources()) }) }
+        val rooms = all {
+            Room(
+                readInt(), resources(), readInt(), readInt(), flag(), all { readInt() }.toIntArray(), priority(), amount(),
+                amount(), all { Soon(amount(), resources()) }, readInt(), priority(),
+            )
+        }
         val teams = all { TeamShare(amount(), readInt()) }
         val slots = readInt()
         val rows = all {
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/LedgerTest.kt
@@ -0,0 +1,116 @@
+package org.honeyjunction.core
+
+import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.ClusterState
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.Ledger
+import org.honeyjunction.core.control.PageRecord
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Placement
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.sim.World
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.StateCodec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class LedgerTest {
+    private val state = ClusterState(World.cluster(), Tuning(), 3)
+    private val ledger = Ledger(state)
+    private var now = 0L
+    private val spec = JobSpec(
+        "j-000001", "c", "a", JobKind.ARRAY, Priority.NORMAL, 200, Resources(1.0, 1.0, 1.0), "i", 5.0, null, null,
+        false, false, false, 10.0, 0.0, 0.0, null,
+    )
+    private val job = state.addJob(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE), 0, 0)
+
+    private fun reserve(count: Int): List<Placement> = List(count) {
+        val task = job.tasks[job.waiting.nextSetBit(0)]
+        state.place(task, state.addMachine("vm-%06d".format(task.number), 0), state.nextSequence(), Phase.RESERVED, now).also(ledger::add)
+    }
+
+    private fun written(): List<Pair<Long, PageRecord>> {
+        now += 1_000
+        ledger.flush(now)
+        return state.effects.filterIsInstance<Effect.Commit>().map { it.id to (it.changes.single() as Change.Page).record }.also { state.effects.clear() }
+    }
+
+    private fun PageRecord.named() = starts.map { it.number }
+
+    @Test
+    fun `one write names all starts that became due, and only then are they recorded`() {
+        val starts = reserve(5)
+        val (id, page) = written().single()
+        assertEquals(listOf(0, 1, 2, 3, 4), page.named())
+        assertEquals(setOf(Phase.RESERVED), starts.map { it.phase }.toSet())
+        state.committed(id, CommitOutcome.Applied(10))
+        assertEquals(setOf(Phase.RECORDED), starts.map { it.phase }.toSet())
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("the version read afterwards is the next condition, 7, 7", "an unknown version leaves the old condition, , 0")
+    fun `a write that failed records nothing and is repeated`(name: String, version: Long?, condition: Long) {
+        val starts = reserve(2)
+        state.committed(written().single().first, CommitOutcome.Failed(version))
+        assertEquals(setOf(Phase.RESERVED), starts.map { it.phase }.toSet())
+        val (_, again) = written().single()
+        assertEquals(listOf(0, 1), again.named(), name)
+        assertEquals(condition, again.version, name)
+    }
+
+    @Test
+    fun `a page written again keeps what is still needed and drops what is gone`() {
+        val starts = reserve(3)
+        val result = job.tasks[9]
+        job.finish(result)
+        ledger.add(result)
+        state.committed(written().single().first, CommitOutcome.Applied(10))
+        assertTrue(result.doneDurable)
+        state.remove(starts[1], now)
+        reserve(1)
+        val (_, page) = written().single()
+        assertEquals(listOf(0, 2, 1), page.named())
+        assertEquals(mapOf("j-000001" to listOf(9)), page.done)
+        assertEquals(10L, page.version)
+    }
+
+    @Test
+    fun `what an earlier term wrote stays named until it is gone`() {
+        val old = state.place(job.tasks[50], state.addMachine("vm-old", 0), 77, Phase.UNHEARD, 0)
+        ledger.restore(0, 8, listOf(old), listOf(job.tasks[60]))
+        reserve(1)
+        val (id, page) = written().single()
+        assertEquals(listOf(50, 0), page.named())
+        assertEquals(8L, page.version)
+        state.committed(id, CommitOutcome.Applied(11))
+        state.remove(old, now)
+        reserve(1)
+        assertEquals(listOf(0, 1), written().single().second.named().filter { it < 50 })
+    }
+
+    @Test
+    fun `no page grows beyond its bound, and what does not fit follows`() {
+        reserve(150)
+        val seen = HashSet<Int>()
+        repeat(30) {
+            for ((id, page) in written()) {
+                val bytes = Json.write(StateCodec.page(page, Long.MAX_VALUE)).size
+                assertTrue(bytes <= state.cluster.pageBytes + 60, "page of $bytes bytes")
+                seen += page.named()
+                state.committed(id, CommitOutcome.Applied(100L + it))
+            }
+        }
+        assertEquals((0 until 150).toSet(), seen)
+        assertEquals(setOf(Phase.RECORDED), job.placements.map { it.phase }.toSet())
+    }
+}
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -11,6 +11,7 @@
 import org.honeyjunction.core.placement.Row
 import org.honeyjunction.core.placement.Soon
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 
@@ -23,6 +24,14 @@
     private fun row(task: Int, spot: Boolean) =
         Row(1, task, 0, Priority.NORMAL, 0, Resources(1.0, 1.0, 1.0), 0, 5.0, -1, -1, spot, false, 0, true)
 
+    @Test
+    fun `an empty machine is kept for a gang, though an array came first`() {
+        val gang = row(0, false).copy(job = 2, need = size, gangOf = 1)
+        val plan = Planner(types) { false }.plan(listOf(Wanted(row(0, false), 4), Wanted(gang, 1)), emptyList(), listOf(Bin(7, ordinary, size, true)), emptyMap())
+        assertEquals(mapOf(7 to 2), plan.held)
+        assertEquals(1, plan.rent.values.sum())
+    }
+
     @ParameterizedTest(name = "{0}")
     @CsvSource(
         "what fits into free room rents nothing,             4, 0, true,  4,  0, false, 0,",
--- a/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -126,6 +126,13 @@
         assertEquals(listOf(1, 1), byMachine.values.map { there -> there.distinctBy { it.job }.size })
     }
 
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("the job it is kept for may use it, 5, NORMAL, 1", "another of the same priority may not, 6, NORMAL, 0", "a higher priority may, 6, HIGH, 1")
+    fun `a machine that is kept for a gang`(name: String, job: Int, priority: Priority, starts: Int) {
+        val kept = Room(0, gpus(4), 0, 0, false, intArrayOf(), heldFor = 5, heldPriority = Priority.NORMAL)
+        assertEquals(starts, placed(summary(listOf(kept), row(job, gpus = 4, priority = priority))).size, name)
+    }
+
     @Test
     fun `one busy slot is awaited by one row, the others start elsewhere`() {
         val busy = Room(0, Resources.NONE, 0, 0, false, intArrayOf(1), fetchGbPerS = 0.1, soon = listOf(Soon(9.0, gpus(1))))
