A final record that is on its way is not written again

Cause: workers report an ended task until it is reaped; each report of a job's last task queued its final record once more, up to 2,000 writes, and pages shared their transactions with them. Ruled out before: plans, processor time, sizes, refused writes. Change: a job that is closing is not closed again. Test: RecoveryTest, "a job that is over".

--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -13,7 +13,6 @@
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
 import org.honeyjunction.core.control.Listed
-import org.honeyjunction.core.control.census
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Connections
@@ -61,7 +60,7 @@
     private suspend fun tellCensus() {
         while (log.isInfoEnabled) {
             delay(CENSUS_MS)
-            log.info("term {}: {}", term.number, holder.state.census())
+            log.info("term {}: {}; {}", term.number, holder.census(), state.census())
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -39,7 +39,7 @@
     private companion object {
         /** A page of hints for so many pages of the ledger at most. */
         const val GAPS = 8
-        const val MACHINE_BYTES = 300
-        const val MAX_IMAGES = 8
+        const val MACHINE_BYTES = 500
+        const val MAX_IMAGES = 6
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -82,6 +82,8 @@
         return placement
     }
 
+    fun census() = "${state.census()}; ${ledger.census()}"
+
     fun drain(): List<Effect> = ArrayList(state.effects).also { state.effects.clear() }
 
     fun leaseUntil(until: Long) {
--- a/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
@@ -57,6 +57,8 @@
         done += result
     }
 
+    fun census() = "ledger: ${starts.size} starts and ${done.size} results to write, ${pages.size} pages, ${pages.count { it.busy }} busy"
+
     fun flush(now: Long) {
         starts.removeIf { it.gone || it.phase != Phase.RESERVED }
         done.removeIf { it.job.stage != JobStage.ACTIVE || it.job.closing }
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -30,7 +30,8 @@
 
     fun flush(now: Long) {
         if (closable.isEmpty()) return
-        val due = closable.filter { it.stage == JobStage.ACTIVE }
+        // Workers report an ended task until it is reaped: a final record that is on its way is not written again.
+        val due = closable.filter { it.stage == JobStage.ACTIVE && !it.closing }
         closable.clear()
         // What is not finished is here because it was cancelled.
         due.forEach { close(it, cancelled = it.unfinished > 0, now) }
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -13,6 +13,7 @@
 import org.honeyjunction.wire.Response
 import org.honeyjunction.wire.StateCodec
 import org.honeyjunction.wire.Write
+import org.slf4j.LoggerFactory
 import java.io.IOException
 
 class StateLimits(val requestsPerS: Double, val writesPerS: Double, val transactionWrites: Int, val nodes: Int)
@@ -36,6 +37,7 @@
         val bytes = writes.sumOf { it.bytes } + (conditions.size + writes.size) * OVERHEAD
     }
 
+    private val log = LoggerFactory.getLogger(StateClient::class.java)
     private val http = HttpClient(Connections(loop, most = 6), address, bodyLimit = 16 * 1024 * 1024)
     private val requests = Budget(limits.requestsPerS * SHARE, limits.requestsPerS * SHARE, clock)
     private val writes = Budget(limits.writesPerS, limits.writesPerS * BURST, clock)
@@ -116,6 +118,8 @@
         return p.result.await()
     }
 
+    fun census() = "writes: ${first.size} and ${pending.size} wait, $queued in all, ${writes.perS} a second"
+
     private fun next(): ArrayDeque<Pending>? = first.takeIf { it.isNotEmpty() } ?: pending.takeIf { it.isNotEmpty() }
 
     private suspend fun writeAll() {
@@ -164,7 +168,8 @@
                 left = rest
                 if (rest.isNotEmpty()) writes.take(rest.sumOf { it.writes.size })
             }
-        } catch (_: IOException) {
+        } catch (e: IOException) {
+            log.info("{} writes of {}: {}", left.sumOf { it.writes.size }, left.flatMap { it.writes }.joinToString { "${it.key} ${it.bytes}" }, e.message)
             left.forEach { finish(it, WriteOutcome.Unknown) }
         }
     }
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core
 
+import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
@@ -123,6 +125,18 @@
         assertEquals(released, h.drain().filterIsInstance<Effect.Release>().size, name)
     }
 
+    @Test
+    fun `a job that is over is written once, however often its end is reported`() {
+        val h = holder()
+        for (i in 0 until 5) {
+            val ended = Array(2) { ReportedTask("j-1", it, 77, TaskState.Ended(Cause.DONE, false)) }
+            h.hello(report(1, 5L + i, token, *ended), 10L + i)
+            h.tick(1_000L * i)
+        }
+        val finals = h.drain().filterIsInstance<Effect.Commit>().filter { c -> c.changes.any { it is Change.JobOver } }
+        assertEquals(1, finals.size)
+    }
+
     @Test
     fun `nothing is started once the lease of the term may be over`() {
         val h = holder()
