--- a/src/main/kotlin/org/honeyjunction/io/Channels.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Channels.kt
@@ -6,6 +6,7 @@
 import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
@@ -48,6 +49,19 @@
     while (buffer.hasRemaining()) await<Int> { write(buffer, Unit, it) }
 }
 
+suspend fun Loop.connect(address: String): AsynchronousSocketChannel {
+    val channel = AsynchronousSocketChannel.open(group)
+    var connected = false
+    try {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+        channel.awaitConnect(socketAddress(address))
+        connected = true
+        return channel
+    } finally {
+        if (!connected) quietly { channel.close() }
+    }
+}
+
 /** An address of the settings: an IPv4 number and a port, never looked up. */
 fun socketAddress(text: String): InetSocketAddress {
     val host = text.substringBeforeLast(':')
--- a/src/main/kotlin/org/honeyjunction/io/Connections.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Connections.kt
@@ -1,6 +1,5 @@
 package org.honeyjunction.io
 
-import java.net.StandardSocketOptions
 import java.nio.channels.AsynchronousSocketChannel
 
 /** Connections that are kept for the next request, [most] in all and [perAddress] to each; the longest unused make way. */
@@ -11,7 +10,7 @@
     private val byAddress = HashMap<String, ArrayDeque<Idle>>()
 
     suspend fun take(address: String): AsynchronousSocketChannel {
-        val kept = byAddress[address]?.lastOrNull() ?: return connect(address)
+        val kept = byAddress[address]?.lastOrNull() ?: return loop.connect(address)
         drop(kept)
         return kept.channel
     }
@@ -38,17 +37,4 @@
         there -= entry
         if (there.isEmpty()) byAddress -= entry.address
     }
-
-    private suspend fun connect(address: String): AsynchronousSocketChannel {
-        val channel = AsynchronousSocketChannel.open(loop.group)
-        var connected = false
-        try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-            channel.awaitConnect(socketAddress(address))
-            connected = true
-            return channel
-        } finally {
-            if (!connected) quietly { channel.close() }
-        }
-    }
 }
--- a/src/main/kotlin/org/honeyjunction/io/Peers.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Peers.kt
@@ -105,7 +105,7 @@
         var done = false
         try {
             return withTimeout(timeoutMs) {
-                val c = current ?: connect().also { current = it }
+                val c = current ?: PeerConnection(loop.connect(address)).also { current = it }
                 c.write(question)
                 val reply = c.read() ?: throw IOException("closed")
                 done = true
@@ -121,19 +121,6 @@
         }
     }
 
-    private suspend fun connect(): PeerConnection {
-        val channel = AsynchronousSocketChannel.open(loop.group)
-        var connected = false
-        try {
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-            channel.awaitConnect(socketAddress(address))
-            connected = true
-            return PeerConnection(channel)
-        } finally {
-            if (!connected) quietly { channel.close() }
-        }
-    }
-
     private companion object {
         const val KEEP = 4
     }
