--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -11,23 +11,27 @@
 
 /** Room that is there, or will be: a machine that is up or booting. */
 class Bin(val machine: Int, val offer: Offer, var free: Resources, val empty: Boolean, leaving: List<Soon> = emptyList()) {
-    private val leaving = leaving.sortedBy { it.inS }
+    private val leaving = leaving.sortedBy { it.inS }.toMutableList()
     var needed = false
 
-    fun take(need: Resources, count: Int = 1) {
-        free -= need * count
+    /** Takes room for [need] now; a task of [runS] seconds (null: without end) gives it back, [fromS] seconds from now. */
+    fun take(need: Resources, runS: Double?, fromS: Double = 0.0) {
+        free -= need
         needed = true
+        if (runS == null) return
+        val at = fromS + runS
+        leaving.add(leaving.indexOfFirst { it.inS > at }.let { if (it < 0) leaving.size else it }, Soon(at, need))
     }
 
-    /** Whether, within [seconds], there is room for [need]. */
-    fun freeWithin(need: Resources, seconds: Double): Boolean {
+    /** When, within [seconds], there is room for [need]; null if there is none. */
+    fun freeFor(need: Resources, seconds: Double): Double? {
         var room = free
         for (l in leaving) {
-            if (l.inS > seconds) return false
+            if (l.inS > seconds) return null
             room += l.need
-            if (need.fitsIn(room)) return true
+            if (need.fitsIn(room)) return l.inS
         }
-        return false
+        return null
     }
 }
 
@@ -40,8 +44,8 @@
 /** [held]: empty machines to be kept for a job whose tasks need them whole. */
 class Plan(val rent: Map<Offer, Int>, val keep: Set<Int>, val unmet: List<Row>, val held: Map<Int, Int>)
 
-/** So many tasks like [sample] that wait. */
-class Wanted(val sample: Row, val count: Int)
+/** So many tasks like [sample] that wait, each of which will run for [runS] seconds by its owner's estimate; null: for ever. */
+class Wanted(val sample: Row, val count: Int, val runS: Double? = null)
 
 /**
  * Decides what to rent and which empty machines to keep: first fit, dearest demand first, cheapest offer first. Tasks
@@ -118,14 +122,17 @@
             if (left == 0) break
             val here = minOf(left, sample.need.countIn(bin.free))
             if (bin.empty && !bin.needed && bin.machine >= 0 && sample.gangOf > 0) work.held[bin.machine] = sample.job
-            bin.take(sample.need, here)
+            repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
         if (left > 0) work.full.note(sample, zone)
         return left
     }
 
-    /** Room that gets free before a machine rented now could have booted and fetched the image: renting would be later. */
+    /**
+     * Room that gets free before a machine rented now could have booted and fetched the image: renting would be later.
+     * A slot may serve several short tasks, one after the other, in that time.
+     */
     private fun await(w: Wanted, count: Int, zone: Int?, work: Work): Int {
         if (count <= 0 || types.isEmpty()) return count
         var left = count
@@ -137,8 +144,8 @@
             if (!allows(w.sample, bin.offer, zone)) continue
             val within = type.bootS + w.sample.imageGb / type.fetchGbPerS
             while (left > 0) {
-                if (!bin.freeWithin(w.sample.need, within)) break
-                bin.take(w.sample.need)
+                val at = bin.freeFor(w.sample.need, within) ?: break
+                bin.take(w.sample.need, w.runS?.coerceAtLeast(SHORTEST_S), at)
                 left--
             }
         }
@@ -163,7 +170,7 @@
             work.full.clear()
             work.late.clear()
             val here = minOf(left, room(sample, offer))
-            bin.take(sample.need, here)
+            repeat(here) { bin.take(sample.need, w.runS) }
             left -= here
         }
         return 0
@@ -180,6 +187,8 @@
             (row.spot || !offer.spot) && (zone == null || zone == offer.zone)
 
     private companion object {
+        /** An estimate of next to nothing must not make one slot do for everything. */
+        const val SHORTEST_S = 5.0
         const val LARGE = 40
     }
 }
@@ -206,7 +215,7 @@
             recent.forEach { parts[((now - it.at) * PARTS / windowMs).toInt().coerceIn(0, PARTS - 1)] += it.wanted.count }
             val usual = (parts.sum() - parts.max()) * PARTS.toDouble() / (PARTS - 1)
             val count = ceil(usual * factor * horizonMs / windowMs).toInt()
-            Expected(Wanted(latest.wanted.sample, count), atOnce(jobClass))
+            Expected(Wanted(latest.wanted.sample, count, latest.wanted.runS), atOnce(jobClass))
         }.sortedByDescending { it.wanted.sample.priority }
 
     private companion object {
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -122,7 +122,7 @@
     fun noteArrival(job: Job, now: Long) {
         if (!forecasted.add(job.index)) return
         forecast.note(
-            state.cluster.classes.index(job.spec.jobClass), Wanted(queue.sample(job), job.spec.tasks), job.createdAt.coerceAtMost(now),
+            state.cluster.classes.index(job.spec.jobClass), Wanted(queue.sample(job), job.spec.tasks, queue.runS(job)), job.createdAt.coerceAtMost(now),
         )
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -54,7 +54,7 @@
             oneZone = job.spec.oneZone && job.spec.tasks > 1, gangOf = if (gang) waiting else 0, guaranteed = job.guaranteed,
             zoneRoom = zoneRoom, late = late(job, now),
         )
-        return Wanted(sample, count)
+        return Wanted(sample, count, runS(job))
     }
 
     /**
@@ -94,6 +94,9 @@
         return rows
     }
 
+    /** How long a task of [job] is expected to hold its place; null for a service. */
+    fun runS(job: Job): Double? = job.spec.estimateS.takeUnless { job.spec.kind == JobKind.SERVICE }
+
     /** The row that [task] would be if it had to be placed elsewhere. */
     fun row(task: Task, now: Long): Row = sample(task.job).copy(
         task = task.number, waitingMs = now - task.waitingSince,
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -34,18 +34,20 @@
 
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        "what fits into free room rents nothing,             4, 0, true,  4,  0, false, 0",
-        "four more fit one machine,                          5, 0, true,  4,  0, false, 1",
-        "expected tasks are rented for,                      0, 8, true,  4,  0, false, 1",
-        "room that is free before a new machine would be,    8, 0, true,  4, 25, false, 0",
-        "room that gets free too late,                       8, 0, true,  4, 31, false, 1",
-        "refused offers leave the task unmet,                8, 0, true,  4,  0, true,  0",
-        "no spot machine for what may not use it,            4, 0, false, 0,  0, false, 1",
+        "what fits into free room rents nothing,             4, 0, true,  4,  0, false, 0,",
+        "four more fit one machine,                          5, 0, true,  4,  0, false, 1,",
+        "expected tasks are rented for,                      0, 8, true,  4,  0, false, 1,",
+        "room that is free before a new machine would be,    8, 0, true,  4, 25, false, 0,",
+        "room that gets free too late,                       8, 0, true,  4, 31, false, 1,",
+        "refused offers leave the task unmet,                8, 0, true,  4,  0, true,  0,",
+        "a slot serves short tasks one after the other,      12, 0, true,  4, 15, false, 0, 12",
+        "but not longer ones,                                12, 0, true,  4, 15, false, 1, 31",
+        "no spot machine for what may not use it,            4, 0, false, 0,  0, false, 1,",
     )
-    fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int) {
+    fun `what is rented`(name: String, waiting: Int, expected: Int, maySpot: Boolean, free: Int, leavesIn: Double, refused: Boolean, machines: Int, runS: Double?) {
         val leaving = if (leavesIn > 0) listOf(Soon(leavesIn, size)) else emptyList()
         val bin = Bin(7, spot, Resources(free * 1.0, free * 1.0, free * 1.0), true, leaving)
-        val plan = Planner(types) { refused }.plan(listOf(Wanted(row(0, maySpot), waiting)).filter { it.count > 0 }, listOf(Expected(Wanted(row(0, maySpot), expected), atOnce = true)), listOf(bin), emptyMap())
+        val plan = Planner(types) { refused }.plan(listOf(Wanted(row(0, maySpot), waiting, runS)).filter { it.count > 0 }, listOf(Expected(Wanted(row(0, maySpot), expected), atOnce = true)), listOf(bin), emptyMap())
         assertEquals(machines, plan.rent.values.sum(), name)
         assertEquals(if (machines == 0) emptySet() else setOf(maySpot), plan.rent.keys.mapTo(HashSet()) { it.spot })
         assertEquals(if (refused) 1 else 0, plan.unmet.size)
