--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -54,11 +54,8 @@
     val isHolder: Boolean get() = driver != null
     val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
 
-    /** Too many writes wait already: another job would not be answered in time. */
-    val congested: Boolean get() = state.congested
-
-    /** Too many tasks wait already: another job would not fit into the holder's memory. */
-    val crowded: Boolean get() = driver?.holder?.crowded ?: toldCrowded
+    /** Too many writes or tasks wait already: another job would not be answered in time, or not fit into memory. */
+    val overloaded: Boolean get() = state.congested || driver?.holder?.crowded ?: toldCrowded
 
     private val stateSilent: Boolean get() = clock.steady() - election.contactAt > SILENT_MS
 
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -52,12 +52,7 @@
             Verdict.UNKNOWN_YET -> later()
             // What was accepted once stays accepted, even if it could not be today.
             Verdict.NEVER -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: Response(422)
-            Verdict.FITS -> when {
-                node.crowded -> later()
-                // The holder has the larger part of the writes.
-                node.congested -> if (forwarded || node.isHolder) later() else forward(r) ?: later()
-                else -> accept(spec, r, forwarded)
-            }
+            Verdict.FITS -> if (node.overloaded) later() else accept(spec, r, forwarded)
         }
     }
 
