Stand-ins of workers, cloud and state service as one set of state machines; the language's typed form

Need: a cluster on loopback and the tests in virtual time are to share what the outside systems do. Package rules reads the language (ANTLR), core.rules has its typed, compiled and analysed form; nothing uses it yet.

--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/rules/RulesReader.kt
@@ -0,0 +1,103 @@
+package org.honeyjunction.rules
+
+import org.antlr.v4.runtime.BaseErrorListener
+import org.antlr.v4.runtime.CharStreams
+import org.antlr.v4.runtime.CommonTokenStream
+import org.antlr.v4.runtime.RecognitionException
+import org.antlr.v4.runtime.Recognizer
+import org.antlr.v4.runtime.Token
+import org.honeyjunction.core.rules.Rule
+import org.honeyjunction.rules.grammar.RulesLexer
+import org.honeyjunction.rules.grammar.RulesParser
+
+/** Something wrong with a text, and where: lines and columns count from 1. */
+data class Fault(val line: Int, val column: Int, val message: String) {
+    fun at(file: String) = "$file:$line:$column: $message"
+}
+
+/** The rules of a text, or what is wrong with it; [places] tells where each rule and its clauses begin. */
+class ReadRules(val rules: List<Rule>, val faults: List<Fault>, val places: List<RulePlace>)
+
+class RulePlace(val rule: Fault, val clauses: List<Fault>)
+
+/** Reads the language of docs/rules.md. [labels] are those that the topology gives to machines. */
+class RulesReader(private val labels: Collection<String> = emptyList()) {
+    fun read(text: String): ReadRules {
+        if (text.length > MAX_CHARS) return failed(Fault(1, 1, "the text is longer than $MAX_CHARS characters"))
+        val faults = ArrayList<Fault>()
+        val listener = object : BaseErrorListener() {
+            override fun syntaxError(r: Recognizer<*, *>?, symbol: Any?, line: Int, column: Int, message: String, e: RecognitionException?) {
+                if (faults.size < MAX_FAULTS) faults += Fault(line, column + 1, clean(message, symbol as? Token))
+            }
+        }
+        val lexer = RulesLexer(CharStreams.fromString(text)).apply {
+            removeErrorListeners()
+            addErrorListener(listener)
+        }
+        val tokens = CommonTokenStream(lexer).apply { fill() }
+        tooDeep(tokens.tokens)?.let { return failed(it) }
+        tooMany(tokens.tokens)?.let { return failed(it) }
+        val parser = RulesParser(tokens).apply {
+            removeErrorListeners()
+            addErrorListener(listener)
+        }
+        val file = parser.file()
+        if (faults.isNotEmpty()) return ReadRules(emptyList(), faults.sortedWith(compareBy({ it.line }, { it.column })), emptyList())
+        val checker = Checker(labels, faults)
+        val rules = file.rule_().map(checker::rule)
+        if (faults.isNotEmpty()) return ReadRules(emptyList(), faults.take(MAX_FAULTS), emptyList())
+        return ReadRules(rules, emptyList(), file.rule_().map { r -> RulePlace(fault(r.start, ""), r.clause().map { fault(it.start, "") }) })
+    }
+
+    private fun failed(fault: Fault) = ReadRules(emptyList(), listOf(fault), emptyList())
+
+    /** Parentheses and "not" nest calls of the parser; chains of "and" and "or" nest the tree. */
+    private fun tooDeep(tokens: List<Token>): Fault? {
+        var depth = 0
+        var chain = 0
+        for (t in tokens) {
+            when (t.text) {
+                "(" -> depth++
+                ")" -> depth--
+                "and", "or", "not" -> chain++
+                "must", "prefer", "rule", "{" -> {
+                    chain = 0
+                    depth = 0
+                }
+            }
+            if (depth > MAX_DEPTH || chain > MAX_CHAIN) return fault(t, "nested too deeply: at most $MAX_DEPTH parentheses and $MAX_CHAIN of \"and\", \"or\" and \"not\" in one clause")
+        }
+        return null
+    }
+
+    private fun tooMany(tokens: List<Token>): Fault? =
+        tokens.filter { it.type == RulesLexer.RULE }.getOrNull(MAX_RULES)?.let { fault(it, "more than $MAX_RULES rules") }
+
+    /** The parser's words for what it met, without lists that go on for lines. */
+    private fun clean(message: String, at: Token?): String {
+        if (message.startsWith("token recognition error")) {
+            val what = message.substringAfter("at: ").take(MAX_SHOWN)
+            return if (what.startsWith("'\"")) "a text that is not closed on its line" else "unexpected character $what"
+        }
+        val found = when {
+            at == null -> return message.take(MAX_SHOWN)
+            at.type == Token.EOF -> "the end"
+            else -> "'${at.text.take(MAX_SHOWN)}'"
+        }
+        val expected = message.substringAfter("expecting ", "").takeIf { it.isNotEmpty() && it.length <= MAX_EXPECTED }
+        return if (expected == null) "$found is not expected here" else "$found is not expected here, but ${expected.removeSurrounding("{", "}")}"
+    }
+
+    companion object {
+        /** What one request to a controller can carry. */
+        const val MAX_CHARS = 60_000
+        const val MAX_RULES = 1_000
+        const val MAX_FAULTS = 20
+        private const val MAX_DEPTH = 40
+        private const val MAX_CHAIN = 120
+        private const val MAX_SHOWN = 40
+        private const val MAX_EXPECTED = 60
+
+        internal fun fault(t: Token, message: String) = Fault(t.line, t.charPositionInLine + 1, message)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/Watch.kt
@@ -0,0 +1,65 @@
+package org.honeyjunction.standin
+
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.Resources
+
+/** Asserts the rules of PROTOCOL over what really is on the machines; what is broken is told once, with its time. */
+class Watch(private val limits: Map<String, Resources>, private val cancelMs: Long) {
+    class Live(val worker: Worker, val task: Worker.Task)
+
+    class Start(val at: Long, val task: String, val worker: Worker, val attempt: Long, val beside: List<Worker.Task>, val mates: List<Worker>)
+
+    val broken = ArrayList<String>()
+    val cancelledAt = HashMap<String, Long>()
+    var started = 0
+        private set
+    private val before = HashMap<String, Pair<String, Long>>()
+
+    /** Called with every start, to be judged by what else must hold. */
+    var onStart: (Start) -> Unit = {}
+
+    fun check(workers: Collection<Worker>, now: Long) {
+        val live = workers.filter { it.holds(now) }.flatMap { w -> w.tasks.values.filter { it.live }.map { Live(w, it) } }
+        val byJob = live.groupBy { it.task.spec.id }
+        for ((id, there) in live.groupBy { it.task.id }) {
+            if (there.size > 1) note(now, "ran_twice: $id on ${there.map { it.worker.name }}")
+            val here = there[0]
+            val key = here.worker.name to here.task.attempt
+            if (before.put(id, key) != key) started(here, byJob.getValue(here.task.spec.id), now)
+        }
+        before.keys.retainAll(live.mapTo(HashSet()) { it.task.id })
+        for ((team, of) in live.groupBy { it.task.spec.team }) {
+            val limit = limits[team] ?: continue
+            val used = of.fold(Resources.NONE) { sum, l -> sum + l.task.spec.need }
+            if (limit.gpus > 0 && used.gpus > limit.gpus + 1e-6 || limit.cpus > 0 && used.cpus > limit.cpus + 1e-6) note(now, "quota: $team uses $used")
+        }
+        for (w in workers) {
+            val used = w.tasks.values.filter { it.live }.fold(Resources.NONE) { sum, t -> sum + t.spec.need }
+            if (!used.fitsIn(w.box.size)) note(now, "overcommitted: ${w.name} $used")
+        }
+        for ((id, since) in cancelledAt) if (now - since > cancelMs && id in byJob) note(now, "ran_cancelled: $id")
+    }
+
+    fun note(now: Long, what: String) {
+        if (broken.size < MAX_BROKEN) broken += "$now $what"
+    }
+
+    private fun started(here: Live, mates: List<Live>, now: Long) {
+        started++
+        val spec: JobSpec = here.task.spec
+        val box = here.worker.box
+        if (box.spot && !spec.spot) note(now, "wrong_place: ${here.task.id} on a spot machine")
+        if (spec.zone != null && spec.zone != box.zone) note(now, "wrong_place: ${here.task.id} in ${box.zone}")
+        if (spec.types != null && box.type !in spec.types) note(now, "wrong_place: ${here.task.id} on a ${box.type}")
+        if (spec.oneZone && mates.any { it.worker.box.zone != box.zone }) note(now, "wrong_place: ${here.task.id} out of its zone")
+        if (spec.spread && mates.count { it.worker.box.zone == box.zone } > (spec.tasks + 1) / 2) note(now, "wrong_place: ${here.task.id} crowds a zone")
+        val late = cancelledAt[spec.id]
+        if (late != null && now - late > cancelMs) note(now, "ran_cancelled: ${here.task.id} starts")
+        val beside = here.worker.tasks.values.filter { it.live && it.id != here.task.id }
+        onStart(Start(now, here.task.id, here.worker, here.task.attempt, beside, mates.filter { it.task.id != here.task.id }.map { it.worker }))
+    }
+
+    private companion object {
+        const val MAX_BROKEN = 100
+    }
+}
--- a/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
@@ -35,7 +35,7 @@
         w.run(120_000)
         w.assertAllDone(jobs)
         assertEquals(JobStage.CANCELLED, w.state.finals[long]?.stage)
-        assertEquals(2, w.workers.values.sumOf { it.tasks.values.count { t -> t.live && t.job.spec.id == service } })
+        assertEquals(2, w.workers.values.sumOf { it.tasks.values.count { t -> t.live && t.spec.id == service } })
         assertTrue(w.workers.size <= 3, "idle machines are returned: ${w.workers.keys}")
     }
 
@@ -83,7 +83,7 @@
                 cloudDown = true
                 at(8_000) { cloudDown = false }
             }
-            "spot notice" -> workers.values.firstOrNull { it.spot && !it.dead }?.let {
+            "spot notice" -> workers.values.firstOrNull { it.box.spot && !it.dead }?.let {
                 it.noticeS = 10.0
                 at(10_000) { it.dead = true }
             }
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/StandInState.kt
@@ -0,0 +1,56 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.PageRecord
+import org.honeyjunction.core.control.Recovered
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.model.JobStage
+
+/** A stand-in of the state service: what is durable, and whose writes still count. */
+class StandInState {
+    var term = 0L
+    var down = false
+    private var revision = 0L
+    val jobs = LinkedHashMap<String, StoredJob>()
+    val finals = HashMap<String, StoredJob>()
+    private val hints = HashMap<Int, List<MachineHint>>()
+    val pages = LinkedHashMap<Int, Pair<PageRecord, Long>>()
+
+    fun submit(job: StoredJob): StoredJob = job.copy(version = ++revision).also { jobs[job.spec.id] = it }
+
+    /** Null: a condition failed, or the service is down. */
+    fun commit(byTerm: Long, changes: List<Change>): Long? {
+        if (down || byTerm != term || !changes.all(::holds)) return null
+        revision++
+        for (c in changes) {
+            when (c) {
+                is Change.Page -> pages[c.record.page] = c.record.copy(version = revision) to c.write
+                is Change.Hints -> hints[c.page] = c.machines
+                is Change.JobOver -> finals[c.job] =
+                    jobs.remove(c.job)!!.copy(stage = if (c.cancelled) JobStage.CANCELLED else JobStage.DONE)
+            }
+        }
+        return revision
+    }
+
+    private fun holds(change: Change) = when (change) {
+        is Change.Page -> (pages[change.record.page]?.first?.version ?: 0L) == change.record.version
+        is Change.JobOver -> jobs[change.job]?.version == change.version
+        is Change.Hints -> true
+    }
+
+    /** As the driver does after a write without an answer: a page is read to see which writing of it is there. */
+    fun reread(changes: List<Change>): CommitOutcome {
+        val c = changes.filterIsInstance<Change.Page>().firstOrNull() ?: return CommitOutcome.Failed()
+        val (record, write) = pages[c.record.page] ?: return CommitOutcome.Failed(0)
+        return if (write == c.write) CommitOutcome.Applied(record.version) else CommitOutcome.Failed(record.version)
+    }
+
+    fun recovered(): Recovered {
+        val records = pages.values.map { it.first }
+        val named = records.flatMap { r -> r.starts.map { it.job } }.toSet() - jobs.keys
+        return Recovered(jobs.values + named.mapNotNull(finals::get), records, hints.values.flatten())
+    }
+}
--- a/src/test/kotlin/org/honeyjunction/sim/World.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/World.kt
@@ -17,6 +17,11 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.Team
+import org.honeyjunction.standin.Box
+import org.honeyjunction.standin.Gangs
+import org.honeyjunction.standin.Watch
+import org.honeyjunction.standin.Work
+import org.honeyjunction.standin.Worker
 import java.util.PriorityQueue
 import java.util.Random
 
@@ -26,17 +31,18 @@
     var now = 0L
         private set
     val state = StandInState()
-    val workers = LinkedHashMap<String, StandInWorker>()
-    val cancelledAt = HashMap<String, Long>()
-    val broken = ArrayList<String>()
-    var started = 0
-        private set
+    val workers = LinkedHashMap<String, Worker>()
+    private val watch = Watch(limits.mapValues { Resources(0.0, it.value, 0.0) }, CANCEL)
+    val broken get() = watch.broken
+    val started get() = watch.started
+    private val gangs = Gangs(TIMING)
+    private val saved = HashMap<String, Double>()
+    private val nextReportAt = HashMap<String, Long>()
     private val rentals = HashMap<String, List<String>>()
     private val booting = LinkedHashMap<String, Triple<Long, String, Boolean>>()
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private var order = 0L
     private var names = 0
-    private val liveBefore = HashMap<String, Pair<String, Long>>()
     var holder: Core? = null
         private set
     var cloudDown = false
@@ -87,7 +93,7 @@
 
     fun cancel(id: String) = holder?.run { cancel(id, now) }
 
-    private fun job(id: String) = state.jobs[id] ?: state.finals[id]
+    private fun work(id: String) = (state.jobs[id] ?: state.finals[id])?.let { Work(it.spec, it.spec.estimateS, it.spec.jobClass == "faulty") }
 
     private fun carryOut(core: Core, e: Effect) {
         when (e) {
@@ -99,7 +105,7 @@
                 val ok = !cloudDown
                 at(100) { core.run { released(e.machines, ok, now) } }
             }
-            is Effect.Cancelled -> if (!e.done) cancelledAt.putIfAbsent(e.job, now)
+            is Effect.Cancelled -> if (!e.done) watch.cancelledAt.putIfAbsent(e.job, now)
             is Effect.StepDown -> core.alive = false
         }
     }
@@ -155,13 +161,13 @@
     }
 
     private fun list(core: Core) {
-        val seen = workers.values.map { Listed(it.name, "10.1.0.1:1", "t4", it.zone, it.spot, it.dead, 9.0) } +
+        val seen = workers.values.map { Listed(it.name, "10.1.0.1:1", "t4", it.box.zone, it.box.spot, it.dead, 9.0) } +
             booting.map { (name, b) -> Listed(name, null, "t4", b.second, b.third, false, 1.0) }
         at(LAG) { core.run { listed(seen, now) } }
     }
 
-    private fun hello(w: StandInWorker) {
-        w.nextReportAt = now + 1500 + random.nextInt(1000)
+    private fun hello(w: Worker) {
+        nextReportAt[w.name] = now + 1500 + random.nextInt(1000)
         if (w.silent(now)) return
         val report = w.report()
         val sentAt = now
@@ -184,12 +190,14 @@
             while (events.isNotEmpty() && events.peek().at <= now) events.poll().run()
             booting.filterValues { it.first <= now }.forEach { (name, b) ->
                 booting.remove(name)
-                workers[name] = StandInWorker(name, b.second, b.third, LEASE_WORKER, now, ::job)
+                val box = Box(name, "10.1.0.1:1", "t4", Resources(4.0, 4.0, 4.0), b.second, b.third, 50.0, 1.0)
+                workers[name] = Worker(box, TIMING, now, ::work, saved)
             }
             for (w in workers.values.toList()) {
                 w.advance(now)
-                if (now >= w.nextReportAt) hello(w)
+                if (now >= (nextReportAt[w.name] ?: now)) hello(w)
             }
+            gangs.step(workers.values, now)
             if (now % 3000 == 0L) holder?.takeIf { it.alive && !cloudDown }?.let(::list)
             check()
         }
@@ -212,35 +220,7 @@
     /** The rules, as the protocol states them. */
     private fun check() {
         if (now % 1000 == 0L) holder?.let { recount(it.holder.state) }
-        val live = workers.values.filter { it.holds(now) }.flatMap { w -> w.tasks.filterValues { it.live }.map { (id, t) -> Triple(id, w, t) } }
-        for ((id, there) in live.groupBy { it.first }) {
-            if (there.size > 1) broken += "$now ran_twice: $id on ${there.map { it.second.name }}"
-            val t = there[0]
-            val key = t.second.name to t.third.attempt
-            if (liveBefore.put(id, key) != key) onStart(id, t.second, t.third, live)
-        }
-        liveBefore.keys.retainAll(live.mapTo(HashSet()) { it.first })
-        for ((team, limit) in limits) {
-            val used = live.filter { it.third.job.spec.team == team }.sumOf { it.third.job.spec.need.gpus }
-            if (used > limit) broken += "$now quota: $team uses $used"
-        }
-        for (w in workers.values) {
-            val used = w.tasks.values.filter { it.live }.sumOf { it.job.spec.need.gpus }
-            if (used > 4) broken += "$now overcommitted: ${w.name} $used"
-        }
-        for ((id, since) in cancelledAt) {
-            if (now - since > CANCEL && live.any { it.third.job.spec.id == id }) broken += "$now ran_cancelled: $id"
-        }
-    }
-
-    private fun onStart(id: String, w: StandInWorker, t: StandInWorker.Running, live: List<Triple<String, StandInWorker, StandInWorker.Running>>) {
-        started++
-        val spec = t.job.spec
-        if (w.spot && !spec.spot) broken += "$now wrong_place: $id on a spot machine"
-        val mates = live.filter { it.third.job.spec.id == spec.id }
-        if (spec.oneZone && mates.any { it.second.zone != w.zone }) broken += "$now wrong_place: $id out of its zone"
-        if (spec.spread && mates.count { it.second.zone == w.zone } > (spec.tasks + 1) / 2) broken += "$now wrong_place: $id crowds a zone"
-        if (state.finals[spec.id]?.stage == JobStage.CANCELLED && now - (cancelledAt[spec.id] ?: now) > CANCEL) broken += "$now ran_cancelled: $id starts"
+        watch.check(workers.values, now)
     }
 
     companion object {
@@ -248,6 +228,7 @@
         const val LEASE_WORKER = 12_000L
         const val CANCEL = 37_000L
         const val LAG = 4_000L
+        val TIMING = Worker.Timing(LEASE_WORKER, gangWaitMs = 30_000, gangPeerMs = 5_000)
         val LIMITS = mapOf("a" to 10.0, "b" to 16.0)
 
         fun cluster(limits: Map<String, Double> = LIMITS) = Cluster(
