--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Files.kt
@@ -0,0 +1,60 @@
+package org.honeyjunction.app
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import java.io.IOException
+import java.nio.charset.CharacterCodingException
+import java.nio.file.AccessDeniedException
+import java.nio.file.NoSuchFileException
+import java.nio.file.Path
+
+/** Reads the files that people write; what is wrong is said in one line that names the file. */
+object Files {
+    /** What [read] makes of [file]; its complaints get the file's name in front. */
+    inline fun <T> named(file: Path, read: () -> T): T =
+        try {
+            read()
+        } catch (e: MalformedException) {
+            throw MalformedException("$file: ${e.message}")
+        }
+
+    fun bytes(file: Path): ByteArray =
+        try {
+            java.nio.file.Files.readAllBytes(file)
+        } catch (_: NoSuchFileException) {
+            throw IOException("$file is not there")
+        } catch (_: AccessDeniedException) {
+            throw IOException("$file may not be read")
+        } catch (e: IOException) {
+            throw IOException(if (java.nio.file.Files.isDirectory(file)) "$file is a directory" else "$file can't be read: ${e.message}")
+        }
+
+    fun text(file: Path): String =
+        try {
+            Charsets.UTF_8.newDecoder().decode(java.nio.ByteBuffer.wrap(bytes(file))).toString()
+        } catch (_: CharacterCodingException) {
+            throw MalformedException("$file is not UTF-8 text")
+        }
+
+    /** The JSON object in [file], or in what is shipped as [otherwise]. */
+    fun <T> json(file: Path?, otherwise: String, read: (ObjectNode) -> T): T {
+        if (file == null) return read(Json.readObject(checkNotNull(javaClass.classLoader.getResource(otherwise)).readBytes()))
+        return named(file) { read(Json.readObject(bytes(file))) }
+    }
+}
+
+/** The exit statuses of the program; README has them. */
+object Status {
+    const val OK = 0
+    const val FAILED = 1
+    const val USAGE = 2
+    const val BAD_FILE = 3
+    const val CANT_LISTEN = 4
+    const val NO_ANSWER = 5
+}
+
+fun complain(message: String, status: Int): Int {
+    System.err.println("honeyjunction: $message")
+    return status
+}
--- a/src/main/kotlin/org/honeyjunction/app/Main.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Main.kt
@@ -1,8 +1,10 @@
 package org.honeyjunction.app
 
+import org.honeyjunction.app.local.LocalCommand
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.MalformedException
+import picocli.AutoComplete.GenerateCompletion
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -15,11 +17,30 @@
 @Command(
     name = "honeyjunction",
     mixinStandardHelpOptions = true,
-    version = ["honeyjunction 0.1.0"],
-    description = ["Runs one controller of the cluster scheduler."],
-    exitCodeOnInvalidInput = 2,
+    version = [VERSION],
+    description = ["A cluster scheduler that places tasks by fairness and data locality.", "--config FILE alone starts a controller, as serve does."],
+    subcommands = [Serve::class, LocalCommand::class, GenerateCompletion::class],
+    synopsisSubcommandLabel = "COMMAND",
 )
 class Main : Callable<Int> {
+    @CommandLine.Spec
+    lateinit var spec: CommandLine.Model.CommandSpec
+
+    override fun call(): Int {
+        spec.commandLine().usage(System.err)
+        return Status.USAGE
+    }
+}
+
+@Command(
+    name = "serve",
+    mixinStandardHelpOptions = true,
+    version = [VERSION],
+    description = ["Runs one controller of the cluster scheduler."],
+    exitCodeListHeading = "Exit status:%n",
+    exitCodeList = ["0:the files are good (--check)", "2:wrong arguments", "3:a settings file is missing or wrong", "4:an address can't be listened on"],
+)
+class Serve : Callable<Int> {
     @Option(names = ["--config"], paramLabel = "FILE", description = ["the platform's settings file (JSON)"])
     var config: Path? = null
 
@@ -38,27 +59,21 @@
     override fun call(): Int {
         if (schema) {
             println(OperatorSettings.schemaText())
-            return 0
+            return Status.OK
         }
         if (rehearse) return Rehearsal.run()
-        val file = config ?: return complain("--config FILE is needed", USAGE)
-        val tuning = try {
-            operator?.let(OperatorSettings::read) ?: Tuning()
+        val file = config ?: return complain("--config FILE is needed", Status.USAGE)
+        val (settings, tuning) = try {
+            val tuning = operator?.let { Files.named(it) { OperatorSettings.read(it) } } ?: Tuning()
+            Files.named(file) { Settings.read(file) } to tuning
         } catch (e: MalformedException) {
-            return complain("$operator: ${e.message}", BAD_SETTINGS)
+            return complain(e.message!!, Status.BAD_FILE)
         } catch (e: IOException) {
-            return complain("$operator can't be read: ${e.message}", BAD_SETTINGS)
-        }
-        val settings = try {
-            Settings.read(file)
-        } catch (e: MalformedException) {
-            return complain("$file: ${e.message}", BAD_SETTINGS)
-        } catch (e: IOException) {
-            return complain("$file can't be read: ${e.message}", BAD_SETTINGS)
+            return complain(e.message!!, Status.BAD_FILE)
         }
         if (check) {
             println("$file is good")
-            return 0
+            return Status.OK
         }
         return serve(settings, tuning)
     }
@@ -68,36 +83,33 @@
         try {
             Node(settings, tuning, loop).start()
         } catch (e: IOException) {
-            return complain("can't listen: ${e.message}", CANT_LISTEN)
+            return complain("can't listen on ${settings.listen} or ${settings.peerListen}: ${e.message}", Status.CANT_LISTEN)
         }
         // Runs until the process is killed.
         CountDownLatch(1).await()
-        return 0
-    }
-
-    private fun complain(message: String, status: Int): Int {
-        System.err.println("honeyjunction: $message")
-        return status
-    }
-
-    private companion object {
-        const val USAGE = 2
-        const val BAD_SETTINGS = 3
-        const val CANT_LISTEN = 4
+        return Status.OK
     }
 }
 
-/** LOG_LEVEL says how much goes to standard error. */
-private fun setUpLogging() {
+private const val VERSION = "honeyjunction 0.2.0"
+
+/** LOG_LEVEL says how much goes to standard error; [otherwise] where it says nothing. */
+private fun setUpLogging(otherwise: String) {
     val level = System.getenv("LOG_LEVEL").orEmpty().lowercase()
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", if (level in setOf("error", "warn", "info", "debug")) level else "info")
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", if (level in setOf("error", "warn", "info", "debug")) level else otherwise)
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
 }
 
+/** A controller's start must not pay for the other commands: without a command's name in front, only its own is set up. */
 fun main(args: Array<String>) {
-    setUpLogging()
-    val status = CommandLine(Main()).execute(*args)
+    val alone = args.firstOrNull()?.let { it.startsWith("--") && it !in setOf("--help", "--version") } == true
+    val serving = alone || args.firstOrNull() == "serve"
+    setUpLogging(if (serving) "info" else "error")
+    val command = if (alone) CommandLine(Serve()).setCommandName("honeyjunction") else CommandLine(Main())
+    val status = command.setExecutionExceptionHandler { e, _, _ ->
+        complain("internal error: $e", Status.FAILED)
+    }.execute(*args)
     System.out.flush()
     exitProcess(status)
 }
--- a/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
@@ -8,7 +8,6 @@
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.given
-import java.nio.file.Files
 import java.nio.file.Path
 
 /** The operators' own settings: JSON, checked against the published schema. */
@@ -17,7 +16,7 @@
 
     fun schemaText(): String = checkNotNull(javaClass.classLoader.getResource(SCHEMA)).readText()
 
-    fun read(file: Path): Tuning = parse(Json.readObject(Files.readAllBytes(file)))
+    fun read(file: Path): Tuning = parse(Json.readObject(Files.bytes(file)))
 
     fun parse(o: JsonNode): Tuning {
         val schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(schemaText())
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -17,7 +17,6 @@
 import org.honeyjunction.wire.listOrEmpty
 import org.honeyjunction.wire.text
 import org.honeyjunction.wire.textOrNull
-import java.nio.file.Files
 import java.nio.file.Path
 
 class Peer(val name: String, val address: String)
@@ -37,7 +36,7 @@
     val maxSockets: Int,
 ) {
     companion object {
-        fun read(file: Path): Settings = parse(Json.readObject(Files.readAllBytes(file)))
+        fun read(file: Path): Settings = parse(Json.readObject(Files.bytes(file)))
 
         fun parse(o: JsonNode): Settings {
             val params = part(o, "params")
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -0,0 +1,53 @@
+package org.honeyjunction.app.local
+
+import kotlinx.coroutines.cancel
+import org.honeyjunction.app.Node
+import org.honeyjunction.app.Settings
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.io.Loop
+import java.io.IOException
+
+/** Real controllers, each on a thread of its own as in a process of its own; they can be killed, hung and started again. */
+class Controllers(private val settings: List<Settings>, private val tuning: Tuning) {
+    private class Running(val loop: Loop, val node: Node)
+
+    private val running = arrayOfNulls<Running>(settings.size)
+    val size get() = settings.size
+
+    fun start(number: Int) {
+        val loop = Loop()
+        val node = Node(settings[number], tuning, loop)
+        running[number] = Running(loop, node)
+        repeat(BIND_TRIES) {
+            try {
+                return node.start()
+            } catch (e: IOException) {
+                // The address of one that was killed a moment ago may still be closing.
+                if (it == BIND_TRIES - 1) throw e
+                Thread.sleep(BIND_MS)
+            }
+        }
+    }
+
+    /** Without a word to anyone, as a process that is killed. */
+    fun kill(number: Int) {
+        val it = running[number] ?: return
+        running[number] = null
+        it.loop.scope.cancel()
+        it.loop.close()
+    }
+
+    fun up(number: Int) = running[number] != null
+
+    /** Its only thread does nothing else for so long. */
+    fun hang(number: Int, forMs: Long) {
+        running[number]?.loop?.occupy(forMs)
+    }
+
+    fun close() = settings.indices.forEach(::kill)
+
+    private companion object {
+        const val BIND_TRIES = 20
+        const val BIND_MS = 50L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
@@ -0,0 +1,138 @@
+package org.honeyjunction.app.local
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.honeyjunction.app.Files
+import org.honeyjunction.app.OperatorSettings
+import org.honeyjunction.app.Status
+import org.honeyjunction.app.complain
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.standin.Fault
+import org.honeyjunction.standin.JobFile
+import org.honeyjunction.standin.PlannedJob
+import org.honeyjunction.standin.Users
+import org.honeyjunction.wire.MalformedException
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+@Command(
+    name = "local",
+    mixinStandardHelpOptions = true,
+    description = [
+        "Runs the whole service on loopback: real controllers against stand-ins of the state service, the cloud and the workers.",
+        "Submits the jobs of a file, shows them move, and ends with their final answers.",
+    ],
+    exitCodeListHeading = "Exit status:%n",
+    exitCodeList = [
+        "0:every job has its final answer and no rule was broken", "1:a rule was broken, or a job has no final answer in time",
+        "2:wrong arguments", "3:a file is missing or wrong",
+    ],
+)
+class LocalCommand : Callable<Int> {
+    @Option(names = ["--controllers"], paramLabel = "N", description = ["controllers (default: \${DEFAULT-VALUE})"])
+    var controllers = 3
+
+    @Option(names = ["--machines"], paramLabel = "N", description = ["machines that the cloud has (default: \${DEFAULT-VALUE})"])
+    var machines = 20
+
+    @Option(names = ["--zones"], paramLabel = "A,B", split = ",", description = ["zones, instead of those of the settings"])
+    var zones: List<String>? = null
+
+    @Option(names = ["--settings"], paramLabel = "FILE", description = ["the cluster: teams, machine types, limits (default: the shipped deploy/local/settings.json)"])
+    var settings: Path? = null
+
+    @Option(names = ["--operator"], paramLabel = "FILE", description = ["the operators' settings"])
+    var operator: Path? = null
+
+    @Option(names = ["--jobs"], paramLabel = "FILE", description = ["the jobs (default: the shipped deploy/local/jobs.json)"])
+    var jobs: Path? = null
+
+    @Option(names = ["--fault"], paramLabel = "FAULT", description = ["a trouble, like 'at 8s kill holder'; may be repeated: " + Fault.FORM])
+    var faults: List<String> = emptyList()
+
+    @Option(names = ["--serve"], description = ["stay up after the jobs are over, until interrupted; addresses are printed"])
+    var serve = false
+
+    @Option(names = ["--within"], paramLabel = "S", description = ["seconds after which jobs without a final answer count as failed (default: \${DEFAULT-VALUE})"])
+    var withinS = 120
+
+    @Option(names = ["--seed"], paramLabel = "N", description = ["of what the stand-ins draw (default: \${DEFAULT-VALUE})"])
+    var seed = 1L
+
+    override fun call(): Int {
+        val troubles = try {
+            require(controllers in 1..9) { "--controllers is from 1 to 9" }
+            require(machines in 1..200) { "--machines is from 1 to 200" }
+            faults.map(Fault::parse)
+        } catch (e: IllegalArgumentException) {
+            return complain(e.message!!, Status.USAGE)
+        }
+        return try {
+            val tuning = operator?.let { Files.named(it) { OperatorSettings.read(it) } } ?: LOCAL_TUNING
+            val cluster = Files.json(settings, "local/settings.json") { LocalSettings(it, zones, machines) }
+            val planned = Files.json(jobs, "local/jobs.json", JobFile::parse)
+            run(cluster, tuning, planned, troubles)
+        } catch (e: MalformedException) {
+            complain(e.message!!, Status.BAD_FILE)
+        } catch (e: IOException) {
+            complain(e.message!!, Status.BAD_FILE)
+        }
+    }
+
+    private fun run(settings: LocalSettings, tuning: Tuning, planned: List<PlannedJob>, troubles: List<Fault>): Int {
+        val cluster = LocalCluster(settings, controllers, tuning, seed, planned, ::println)
+        try {
+            println("controllers: ${cluster.nodes.joinToString { "http://$it" }}")
+            cluster.start(troubles)
+            runBlocking { cluster.loopback.loop.scope.async { follow(cluster, planned, troubles) }.await() }
+            val status = Outcome.print(cluster)
+            while (serve) Thread.sleep(1_000)
+            return status
+        } finally {
+            cluster.close()
+        }
+    }
+
+    /** Until every job has its final answer; services are cancelled when nothing else is left, as their users would. */
+    private suspend fun follow(cluster: LocalCluster, planned: List<PlannedJob>, troubles: List<Fault>) {
+        planned.forEach { cluster.users.follow(it) }
+        val told = HashMap<Users.Tracked, Users.Stage>()
+        val until = cluster.loopback.now() + withinS * 1000L
+        var nextStatus = 0L
+        while (cluster.loopback.now() < until && cluster.loopback.watch.broken.isEmpty()) {
+            for (job in cluster.users.jobs) {
+                if (told.put(job, job.stage) != job.stage && job.over) cluster.say("${job.spec.id} (${job.spec.jobClass}) ${job.stage.name.lowercase()} ${job.why}".trimEnd())
+            }
+            if (cluster.loopback.now() >= nextStatus) {
+                nextStatus = cluster.loopback.now() + STATUS_MS
+                cluster.say(cluster.status())
+            }
+            val open = cluster.users.jobs.filter { !it.over }
+            if (open.isEmpty()) break
+            val rest = open.all { it.spec.kind == JobKind.SERVICE && it.planned.cancelAtMs == null && it.stage == Users.Stage.ACCEPTED }
+            if (rest && !serve && troubles.all { it.atMs + it.forMs + SETTLE_MS < cluster.loopback.now() } && running(cluster, open)) open.forEach { it.cancelWanted = true }
+            if (rest && serve) break
+            delay(STEP_MS)
+        }
+        cluster.users.askAgain()
+    }
+
+    private fun running(cluster: LocalCluster, jobs: List<Users.Tracked>): Boolean {
+        val live = cluster.loopback.workers.flatMap { w -> w.tasks.values.filter { it.live }.map { it.spec.id } }
+        return jobs.all { j -> live.count { it == j.spec.id } == j.spec.tasks }
+    }
+
+    private companion object {
+        const val STEP_MS = 50L
+        const val STATUS_MS = 1_000L
+        const val SETTLE_MS = 3_000L
+
+        /** Machines that boot within seconds are returned within seconds too. */
+        val LOCAL_TUNING = Tuning(idleMs = 6_000, forecastMs = 20_000)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalSettings.kt
@@ -0,0 +1,72 @@
+package org.honeyjunction.app.local
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.honeyjunction.app.Settings
+import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.standin.LoopbackSettings
+import org.honeyjunction.standin.Store
+import org.honeyjunction.standin.Worker
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.amount
+import org.honeyjunction.wire.amountOrNull
+import org.honeyjunction.wire.count
+import org.honeyjunction.wire.given
+import org.honeyjunction.wire.list
+import org.honeyjunction.wire.text
+
+/** The file of a cluster on loopback: the platform's `params`, and `machine_types` that the stand-in of the cloud rents. */
+class LocalSettings(private val params: ObjectNode, zones: List<String>?, private val machines: Int) {
+    private val zones: List<String> = zones ?: params.list("zones").map { it.textValue() ?: throw MalformedException("zones is invalid") }
+    private val types = params.list("machine_types").mapIndexed { i, t ->
+        try {
+            type(t)
+        } catch (e: MalformedException) {
+            throw MalformedException("machine_types[$i]: ${e.message}")
+        }
+    }
+
+    private fun type(t: JsonNode): MachineType {
+        val offered = if (zones.isEmpty() || t.given("zones") == null) zones else t.list("zones").map { it.textValue() }
+        // A file's zones that are not those of the command line are as good as any.
+        val here = offered.filter { it in zones }.ifEmpty { zones }
+        return MachineType(
+            t.text("name"), Resources(t.amount("cpus"), t.amount("gpus"), t.amount("memory_gb")), t.amountOrNull("cache_gb") ?: DEFAULT_CACHE_GB,
+            t.amountOrNull("fetch_gb_per_s") ?: 1.0, t.amountOrNull("price") ?: 1.0, t.amountOrNull("spot_price") ?: SPOT_PRICE, t.amount("boot_s"),
+            here.map(zones::indexOf),
+        )
+    }
+
+    /** The file that the platform would hand to node [number] of the nodes at [listen]; [peers] are their other addresses. */
+    fun forNode(number: Int, listen: List<String>, peers: List<String>, statePort: Int, cloudPort: Int): Settings {
+        val o = Json.obj().put("host_name", name(number)).put("zone", zones[number % zones.size]).put("api_addr", listen[number]).put("peer_listen", peers[number])
+        val seeds = o.putArray("seeds")
+        for (i in listen.indices) if (i != number) seeds.addObject().put("host_name", name(i)).put("zone", zones[i % zones.size]).put("address", peers[i])
+        o.putObject("external").put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort")
+        val p = params.deepCopy()
+        p.put("nodes", listen.size).putArray("zones").apply { zones.forEach(::add) }
+        o.set<JsonNode>("params", p)
+        return Settings.parse(o)
+    }
+
+    fun name(number: Int) = "hive-$number"
+
+    fun loopback(sample: Settings): LoopbackSettings {
+        val w = params.given("workers") ?: throw MalformedException("workers is missing")
+        val s = params.given("state") ?: throw MalformedException("state is missing")
+        return LoopbackSettings(
+            zones, sample.cluster.teams, types, machines,
+            Worker.Timing(sample.cluster.leaseMs, (w.amount("gang_wait_s") * 1000).toLong(), (w.amount("gang_peer_s") * 1000).toLong()),
+            sample.cluster.reportMs, sample.cluster.cancelMs,
+            Store.Limits(s.amount("rps"), s.amount("write_rps"), s.count("txn_ops").toInt(), (s.amount("value_kb") * 1024).toInt()),
+            sample.cloudRps, sample.listLagMs,
+        )
+    }
+
+    private companion object {
+        const val DEFAULT_CACHE_GB = 100.0
+        const val SPOT_PRICE = 0.4
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.io
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -113,6 +114,8 @@
     private suspend fun answer(request: Request): Response =
         try {
             handle(request)
+        } catch (e: CancellationException) {
+            throw e
         } catch (e: IllegalStateException) {
             // A broken invariant costs this one request, not the process.
             log.error("{} {} failed", request.method, request.path, e)
--- a/src/main/kotlin/org/honeyjunction/io/Loop.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Loop.kt
@@ -13,6 +13,11 @@
     private val dispatcher = executor.asCoroutineDispatcher()
     val scope = CoroutineScope(SupervisorJob() + dispatcher)
 
+    /** The thread does nothing else for [ms] milliseconds, as if the process hung. */
+    fun occupy(ms: Long) {
+        executor.execute { Thread.sleep(ms) }
+    }
+
     override fun close() {
         group.shutdownNow()
         executor.shutdownNow()
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/CloudServer.kt
@@ -0,0 +1,57 @@
+package org.honeyjunction.standin
+
+import org.honeyjunction.io.HttpServer
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.CloudCodec
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.OtherSide
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import org.honeyjunction.core.model.MachineType
+import java.net.InetSocketAddress
+
+/** The cloud over HTTP. */
+class CloudServer(private val loop: Loop, private val cloud: Cloud, private val types: List<MachineType>, private val zones: List<String>, private val now: () -> Long, private val released: (List<String>) -> Unit) {
+    fun listen(): Int {
+        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }) { answer(it) }.listen(InetSocketAddress("127.0.0.1", 0))
+        return (server.localAddress as InetSocketAddress).port
+    }
+
+    private fun answer(r: Request): Response {
+        if (!cloud.request(now())) return Response(429)
+        if (cloud.down) return Response(503, "{\"error\":\"trouble\"}".toByteArray())
+        return try {
+            when (r.path) {
+                "/machine_types" -> Response(200, OtherSide.types(types, zones))
+                "/rentals" -> if (r.method == "POST") rent(r) else list(r)
+                "/rentals/release" -> {
+                    val names = CloudCodec.rented(r.body)
+                    if (names.size > MAX_RELEASE) return Response(400)
+                    released(cloud.release(names).map { it.name })
+                    Response(200)
+                }
+                else -> Response(404)
+            }
+        } catch (e: MalformedException) {
+            Response(400, "{\"error\":\"${e.message}\"}".toByteArray())
+        }
+    }
+
+    private fun rent(r: Request): Response {
+        val call = OtherSide.rental(r.body)
+        val names = cloud.rent(call.name, call.type, call.zone, call.spot, call.count, now()) ?: return Response(503, "{\"error\":\"no capacity\"}".toByteArray())
+        return Response(200, CloudCodec.names(names))
+    }
+
+    private fun list(r: Request): Response {
+        val since = Regex("Since=([^&]+)").find(r.target)?.groupValues?.get(1).orEmpty()
+        val all = cloud.list(now()).filter { it.name > since }.sortedBy { it.name }
+        return Response(200, OtherSide.machines(all.take(MAX_LIST), { cloud.isUp(it, now()) }, all.size > MAX_LIST))
+    }
+
+    private companion object {
+        const val MAX_CONNECTIONS = 100
+        const val MAX_RELEASE = 100
+        const val MAX_LIST = 500
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -0,0 +1,128 @@
+package org.honeyjunction.standin
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Team
+import org.honeyjunction.io.Clock
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.given
+import java.util.Random
+
+/** What the stand-ins are told of the cluster; times in milliseconds. */
+class LoopbackSettings(
+    val zones: List<String>, val teams: List<Team>, val types: List<MachineType>, val machines: Int, val timing: Worker.Timing,
+    val reportMs: Long, val cancelMs: Long, val store: Store.Limits, val cloudRps: Double, val listLagMs: Long,
+)
+
+/** The state service, the cloud and the workers on loopback, and the watch over what they see. All on one thread of their own. */
+class Loopback(private val settings: LoopbackSettings, private val nodes: List<Pair<String, String>>, seed: Long, private val work: (String) -> Work?) {
+    val loop = Loop()
+    private val random = Random(seed)
+    private val startedAt = Clock.steady()
+    val store = Store(settings.store, 0)
+    val cloud = Cloud(settings.types, settings.zones, settings.machines, settings.cloudRps, settings.listLagMs, Random(random.nextLong()), 0)
+    val watch = Watch(settings.teams.associate { it.name to it.limit }, settings.cancelMs)
+    private val gangs = Gangs(settings.timing)
+    private val saved = HashMap<String, Double>()
+    private val hosts = LinkedHashMap<String, WorkerHost>()
+    private val stateServers = nodes.map { StateServer(loop, store, Random(random.nextLong()), ::now) }
+    private val cloudServer = CloudServer(loop, cloud, settings.types, settings.zones, ::now) { names -> names.forEach(::remove) }
+
+    val workers: List<Worker> get() = hosts.values.map { it.worker }
+
+    /** Milliseconds since the start. */
+    fun now(): Long = Clock.steady() - startedAt
+
+    /** Addresses of the state service, node by node, and of the cloud. */
+    val statePorts: List<Int> = stateServers.map { it.listen() }
+    val cloudPort: Int = cloudServer.listen()
+
+    fun start() {
+        loop.scope.launch {
+            while (true) {
+                step()
+                delay(STEP_MS)
+            }
+        }
+    }
+
+    private fun step() {
+        val now = now()
+        store.expire(now)
+        cloud.note(now)
+        for (m in cloud.machines.values) if (m.name !in hosts && cloud.isUp(m.name, now)) boot(m)
+        workers.forEach { it.advance(now) }
+        gangs.step(workers, now)
+        watch.check(workers, now)
+    }
+
+    private fun boot(m: Cloud.Machine) {
+        val host = WorkerHost(loop, nodes, settings.reportMs, Random(random.nextLong()), ::now)
+        m.address = host.address
+        host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), work, saved)
+        hosts[m.name] = host
+        host.start()
+    }
+
+    private fun remove(name: String) {
+        hosts.remove(name)?.stop()
+    }
+
+    /** The node that holds the term, by the state service. */
+    fun holder(): Int? = store[LEAD]?.value?.given("holder")?.let { h -> nodes.indexOfFirst { it.first == h.textValue() }.takeIf { it >= 0 } }
+
+    fun term(): Long = store[TERM]?.value?.given(TERM)?.longValue() ?: 0
+
+    fun refuse(node: Int, forMs: Long) {
+        stateServers[node].refusedUntil = now() + forMs
+    }
+
+    fun outage(of: Fault.Whom, forMs: Long) {
+        if (of == Fault.Whom.State) store.outage(true, now()) else cloud.down = true
+        loop.scope.launch {
+            delay(forMs)
+            if (of == Fault.Whom.State) store.outage(false, now()) else cloud.down = false
+        }
+    }
+
+    /** Strikes some machine that has tasks; tells which. */
+    fun strike(what: Fault.What, forMs: Long): String? {
+        val w = workers.filter { !it.dead && it.tasks.values.any { t -> t.live } }.let { if (it.isEmpty()) null else it[random.nextInt(it.size)] } ?: return null
+        when (what) {
+            Fault.What.KILL -> kill(w)
+            Fault.What.HANG -> w.hungUntil = now() + forMs
+            Fault.What.CUT -> w.cutUntil = now() + forMs
+            Fault.What.NOTICE -> {
+                w.noticeS = forMs / 1000.0
+                loop.scope.launch {
+                    delay(forMs)
+                    kill(w)
+                    cloud.machines.remove(w.name)
+                }
+            }
+            Fault.What.REFUSE, Fault.What.OUTAGE -> return null
+        }
+        return w.name
+    }
+
+    private fun kill(w: Worker) {
+        w.dead = true
+        hosts[w.name]?.stop()
+        loop.scope.launch {
+            delay(DEATH_SEEN_MS)
+            cloud.machines[w.name]?.failed = true
+        }
+    }
+
+    fun close() = loop.close()
+
+    private companion object {
+        const val STEP_MS = 20L
+        const val DEATH_SEEN_MS = 3_000L
+
+        /** Two records of the project's own, read only to tell who holds the term. */
+        const val LEAD = "lead"
+        const val TERM = "term"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
@@ -0,0 +1,109 @@
+package org.honeyjunction.standin
+
+import kotlinx.coroutines.delay
+import org.honeyjunction.io.HttpServer
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.OtherSide
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import java.net.InetSocketAddress
+import java.util.Random
+
+/** One node's way to the store, over HTTP: so one node alone can be refused. */
+class StateServer(private val loop: Loop, private val store: Store, private val random: Random, private val now: () -> Long) {
+    /** Until then this node alone is refused. */
+    var refusedUntil = 0L
+    private val shut get() = store.down || now() < refusedUntil
+
+    fun listen(): Int {
+        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, ::answer).listen(InetSocketAddress("127.0.0.1", 0))
+        return (server.localAddress as InetSocketAddress).port
+    }
+
+    private suspend fun answer(r: Request): Response {
+        val query = r.target.substringAfter('?', "").split('&').filter { '=' in it }.associate { it.substringBefore('=') to it.substringAfter('=') }
+        if (!store.request(now())) return Response(429)
+        if (shut && r.path != "/changes") return Response(503)
+        return try {
+            route(r, query)
+        } catch (e: MalformedException) {
+            Response(400, "{\"error\":\"${e.message}\"}".toByteArray())
+        }
+    }
+
+    private suspend fun route(r: Request, query: Map<String, String>): Response = when {
+        r.path == "/changes" -> changes(query)
+        r.path == "/commit" -> commit(r)
+        r.path == "/leases" -> Response(200, OtherSide.lease(store.grant(OtherSide.lifeMs(r.body).coerceIn(100, 600_000), now())))
+        r.path.startsWith("/leases/") -> lease(r)
+        r.path == "/store" -> range(query)
+        r.path.startsWith("/store/") -> get(r.path.removePrefix("/store/"))
+        else -> Response(404)
+    }
+
+    private fun get(key: String): Response {
+        store.expire(now())
+        val kept = store[key] ?: return Response(404, OtherSide.revision(store.revision))
+        return Response(200, OtherSide.entry(key, kept.value, kept.version, kept.lease))
+    }
+
+    private fun range(query: Map<String, String>): Response {
+        val (rows, more) = store.range(query["Starts"].orEmpty(), query["Since"], query["Most"]?.toIntOrNull() ?: 1000)
+        return Response(200, OtherSide.rows(rows.map { (key, kept) -> Triple(key, kept.value, kept.version) }, more, store.revision))
+    }
+
+    private fun lease(r: Request): Response {
+        val id = r.path.removePrefix("/leases/").removeSuffix("/extend").toLongOrNull() ?: return Response(400)
+        if (r.method == "DELETE") {
+            store.end(id)
+            return Response(200)
+        }
+        return Response(if (store.extend(id, now())) 200 else 404)
+    }
+
+    /** Some transactions lose their answer, and some are applied much later, if their conditions still hold. */
+    private suspend fun commit(r: Request): Response {
+        val call = OtherSide.commit(r.body)
+        val puts = call.puts.map { (key, value, lease) -> Store.Put(key, value, lease) }
+        val fate = random.nextInt(FATES)
+        if (fate == LATE) {
+            delay(LATE_MS)
+            if (!shut) store.commit(call.conditions, puts, now())
+            return Response(503)
+        }
+        val outcome = store.commit(call.conditions, puts, now())
+        if (fate == UNANSWERED) delay(LATE_MS)
+        return when (outcome) {
+            is Store.Commit.Applied -> Response(200, OtherSide.revision(outcome.revision))
+            is Store.Commit.Conflict -> Response(409, OtherSide.conflict(outcome.failed, outcome.revision))
+            is Store.Commit.Malformed -> Response(400, "{\"error\":\"${outcome.why}\"}".toByteArray())
+            Store.Commit.OverLimit -> Response(429)
+        }
+    }
+
+    private suspend fun changes(query: Map<String, String>): Response {
+        val prefix = query["Starts"].orEmpty()
+        val since = query["Since"]?.toLongOrNull() ?: return Response(400)
+        val until = now() + (query["BlockMs"]?.toLongOrNull() ?: 0L)
+        while (true) {
+            // During an outage open watches stay open.
+            if (!shut) {
+                val changes = store.changes(prefix, since, now()) ?: return Response(410)
+                if (changes.isNotEmpty() || now() >= until) {
+                    return Response(200, OtherSide.changes(changes.map { Triple(it.key, it.value, it.version) }, store.revision))
+                }
+            }
+            delay(STEP_MS)
+        }
+    }
+
+    private companion object {
+        const val MAX_CONNECTIONS = 500
+        const val STEP_MS = 15L
+        const val FATES = 300
+        const val LATE = 0
+        const val UNANSWERED = 1
+        const val LATE_MS = 2_500L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/Users.kt
@@ -0,0 +1,147 @@
+package org.honeyjunction.standin
+
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.io.Connections
+import org.honeyjunction.io.HttpClient
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.OtherSide
+import org.honeyjunction.wire.Response
+import java.io.IOException
+
+/** Users who submit, poll and cancel through whichever node answers, and note what they are told against the rules. */
+class Users(private val loop: Loop, private val nodes: List<String>, private val watch: Watch, private val now: () -> Long) {
+    enum class Stage { UNSENT, ASKING, ACCEPTED, DONE, CANCELLED, REFUSED, FORGOTTEN }
+
+    class Tracked(val planned: PlannedJob) {
+        val spec get() = planned.work.spec
+        var stage = Stage.UNSENT
+            private set
+        var acceptedMs: Long? = null
+        var finalMs: Long? = null
+        var why = ""
+        var cancelWanted = false
+        val over get() = stage >= Stage.DONE
+
+        /** The only way its stage changes. False: what was told goes back on what was told before. */
+        fun enter(next: Stage): Boolean {
+            if (over && next != stage) return false
+            stage = next
+            return true
+        }
+    }
+
+    private val clients = nodes.map { HttpClient(Connections(loop, most = 32), it) }
+    private var turn = 0
+    val jobs = ArrayList<Tracked>()
+
+    fun follow(planned: PlannedJob): Job {
+        val job = Tracked(planned)
+        jobs += job
+        return loop.scope.launch {
+            delay((planned.atMs - now()).coerceAtLeast(0))
+            submit(job)
+            while (!job.over) {
+                val cancelAt = planned.cancelAtMs
+                if (cancelAt != null && now() >= cancelAt) job.cancelWanted = true
+                if (job.cancelWanted) cancel(job) else poll(job)
+                delay(POLL_MS)
+            }
+        }
+    }
+
+    /** As the load balancer would: the next node that answers at all. */
+    private suspend fun ask(method: String, path: String, body: ByteArray = Response.NO_BODY, timeoutMs: Long): Response? {
+        repeat(nodes.size) {
+            try {
+                return clients[turn++ % nodes.size].send(method, path, body, timeoutMs)
+            } catch (_: IOException) {
+                // Another node may answer.
+            }
+        }
+        return null
+    }
+
+    private suspend fun submit(job: Tracked) {
+        job.enter(Stage.ASKING)
+        val body = Json.write(JobCodec.write(job.spec))
+        val until = now() + GIVE_UP_MS
+        while (now() < until) {
+            val r = ask("POST", RUNS, body, SUBMIT_MS)
+            when (r?.status) {
+                200, 201 -> {
+                    job.enter(Stage.ACCEPTED)
+                    job.acceptedMs = now()
+                    return
+                }
+                400, 422 -> {
+                    job.enter(Stage.REFUSED)
+                    job.why = reason(r)
+                    job.finalMs = now()
+                    return
+                }
+                else -> delay(maxOf(1_000L, (r?.retryAfterS ?: 0) * 1_000L))
+            }
+        }
+        job.enter(Stage.REFUSED)
+        job.why = "not accepted within ${GIVE_UP_MS / 1000} s"
+    }
+
+    private suspend fun poll(job: Tracked) {
+        val r = ask("GET", "$RUNS/${job.spec.id}", timeoutMs = ANSWER_MS) ?: return
+        when (r.status) {
+            200 -> told(job, r)
+            404 -> {
+                watch.note(now(), "forgotten: ${job.spec.id}")
+                job.enter(Stage.FORGOTTEN)
+            }
+        }
+    }
+
+    private suspend fun cancel(job: Tracked) {
+        val r = ask("POST", "$RUNS/${job.spec.id}/cancel", timeoutMs = SUBMIT_MS) ?: return
+        if (r.status == 200) told(job, r)
+    }
+
+    private fun told(job: Tracked, r: Response) {
+        val next = when (OtherSide.stage(r.body)) {
+            "done" -> Stage.DONE
+            "cancelled" -> Stage.CANCELLED
+            else -> if (job.stage == Stage.ACCEPTED) return else Stage.ACCEPTED
+        }
+        if (!job.enter(next)) watch.note(now(), "went_back: ${job.spec.id} from ${job.stage} to $next")
+        if (next == Stage.CANCELLED) {
+            watch.cancelledAt.putIfAbsent(job.spec.id, now())
+            if (!job.cancelWanted) watch.note(now(), "went_back: ${job.spec.id} is cancelled though nobody asked")
+        }
+        job.finalMs = job.finalMs ?: now()
+    }
+
+    /** Asks once more for what is over, and for a job that nobody submitted. */
+    suspend fun askAgain() {
+        for (job in jobs.filter { it.stage == Stage.DONE || it.stage == Stage.CANCELLED }) {
+            val r = ask("GET", "$RUNS/${job.spec.id}", timeoutMs = ANSWER_MS) ?: continue
+            if (r.status == 200) told(job, r) else if (r.status == 404) watch.note(now(), "forgotten: ${job.spec.id}")
+        }
+        if (ask("GET", "$RUNS/$NOBODYS", timeoutMs = ANSWER_MS)?.status == 200) watch.note(now(), "invented: $NOBODYS")
+    }
+
+    private fun reason(r: Response): String = try {
+        Json.readObject(r.body).get("error")?.textValue().orEmpty()
+    } catch (_: MalformedException) {
+        "status ${r.status}"
+    }
+
+    private companion object {
+        const val RUNS = "/v2/runs"
+        const val NOBODYS = "j-999999999"
+        const val POLL_MS = 400L
+        const val SUBMIT_MS = 5_000L
+        const val ANSWER_MS = 2_000L
+        const val GIVE_UP_MS = 60_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
@@ -0,0 +1,127 @@
+package org.honeyjunction.standin
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.io.Connections
+import org.honeyjunction.io.HttpClient
+import org.honeyjunction.io.HttpServer
+import org.honeyjunction.io.Loop
+import org.honeyjunction.io.quietly
+import org.honeyjunction.wire.MalformedException
+import org.honeyjunction.wire.OtherSide
+import org.honeyjunction.wire.Request
+import org.honeyjunction.wire.Response
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.util.Random
+
+/** A worker over HTTP: reports to one node at a time, takes commands; cuts and hangs hold its messages back. */
+class WorkerHost(private val loop: Loop, private val nodes: List<Pair<String, String>>, private val reportMs: Long, private val random: Random, private val now: () -> Long) {
+    lateinit var worker: Worker
+    private val scope = CoroutineScope(loop.scope.coroutineContext + Job(loop.scope.coroutineContext[Job]))
+    private val connections = Connections(loop, most = 2)
+    private var node = random.nextInt(nodes.size)
+    private val server: AsynchronousServerSocketChannel = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, ::answer).listen(InetSocketAddress("127.0.0.1", 0))
+    val address: String get() = "127.0.0.1:${(server.localAddress as InetSocketAddress).port}"
+
+    fun start() {
+        scope.launch { reportAll() }
+    }
+
+    fun stop() {
+        scope.cancel()
+        connections.closeAll()
+        quietly { server.close() }
+    }
+
+    private fun held() = worker.silent(now()) || now() < worker.cutUntil
+
+    /** Commands that are held back are executed when the cut or the hang is over, whoever waits for the answer. */
+    private suspend fun answer(r: Request): Response {
+        while (held()) delay(STEP_MS)
+        worker.advance(now())
+        if (r.path == "/status") return Response(200, OtherSide.report(worker.report()))
+        if (r.path != "/commands" || r.method != "POST") return Response(404)
+        val call = try {
+            OtherSide.commands(r.body)
+        } catch (e: MalformedException) {
+            return Response(400, "{\"error\":\"${e.message}\"}".toByteArray())
+        }
+        if (call.token < 0 || call.session < 0) return Response(400)
+        val done = worker.command(call.token, call.session, call.commands, now())
+        return Response(if (done) 200 else 409, OtherSide.report(worker.report()))
+    }
+
+    private suspend fun reportAll() {
+        while (true) {
+            val pause = reportMs * 3 / 4 + random.nextInt((reportMs / 2).toInt().coerceAtLeast(1))
+            val until = now() + pause
+            val seen = worker.changes
+            val from = now()
+            // At once when something changed, though no more often than every half second.
+            while (now() < until && (worker.changes == seen || now() - from < CHANGE_MS)) delay(STEP_MS)
+            while (worker.silent(now())) delay(STEP_MS)
+            worker.advance(now())
+            val ok = report()
+            if (!ok) {
+                delay(RETRY_MS)
+                node = (node + 1) % nodes.size
+            }
+        }
+    }
+
+    /** False: the next node is to be tried. */
+    private suspend fun report(): Boolean {
+        val sentAt = now()
+        val report = worker.report()
+        val body = OtherSide.report(report)
+        if (now() < worker.cutUntil) {
+            // A report that a cut holds back arrives late; its answer comes too late for the worker.
+            scope.launch {
+                while (held()) delay(STEP_MS)
+                try {
+                    HttpClient(connections, nodes[node].second).send("POST", HELLO, body, ANSWER_MS)
+                } catch (_: IOException) {
+                    // Nobody waits for it any more.
+                }
+            }
+            delay(ANSWER_MS)
+            return false
+        }
+        val answer = try {
+            HttpClient(connections, nodes[node].second).send("POST", HELLO, body, ANSWER_MS)
+        } catch (_: IOException) {
+            return false
+        }
+        return when (answer.status) {
+            200 -> {
+                if (worker.silent(now())) return true
+                val call = OtherSide.commands(answer.body)
+                worker.answered(sentAt, report.session, call.token, call.commands, now())
+                true
+            }
+            421 -> {
+                val to = OtherSide.redirect(answer.body)?.let { name -> nodes.indexOfFirst { it.first == name } } ?: -1
+                if (to < 0 || to == node) return false
+                node = to
+                delay(random.nextInt(REDIRECT_MS).toLong())
+                report()
+            }
+            else -> false
+        }
+    }
+
+    private companion object {
+        const val HELLO = "/hello"
+        const val MAX_CONNECTIONS = 16
+        const val STEP_MS = 20L
+        const val CHANGE_MS = 500L
+        const val RETRY_MS = 1_000L
+        const val ANSWER_MS = 4_000L
+        const val REDIRECT_MS = 300
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/wire/Json.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/Json.kt
@@ -26,9 +26,10 @@
         try {
             reader.readTree(bytes)
         } catch (e: JsonProcessingException) {
-            throw MalformedException("not JSON: ${e.originalMessage}")
+            // The parser's own words speak of its inner types.
+            throw MalformedException("not JSON: line ${e.location?.lineNr ?: 1}, column ${e.location?.columnNr ?: 1}")
         } catch (e: IOException) {
-            throw MalformedException("not JSON: ${e.message}")
+            throw MalformedException("not JSON: not UTF-8 text")
         }
 
     fun readObject(bytes: ByteArray): ObjectNode =
