How long a machine has been idle outlives a takeover; zones and types are bounded at the door

Cause: hints did not say since when a machine had nothing to do, each new holder counted 45 s anew, and starts of jobs that were over, still named by a page, began the count once more; a check after killing all nodes found four machines idle for a minute. The 65th zone or type would have passed for the first. Settings errors tell the whole way to the field.

--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -41,41 +41,60 @@
         fun parse(o: JsonNode): Settings {
             val params = part(o, "params")
             val external = part(o, "external")
-            val workers = part(params, "workers")
-            val state = part(params, "state")
-            val cloud = part(params, "cloud")
-            val sockets = params.given("machine_limits")?.amountOrNull("max_sockets")?.toInt() ?: DEFAULT_SOCKETS
-            val peers = o.listOrEmpty("seeds").map { Peer(it.text("host_name"), address(it, "address")) }
+            val workers = part(params, "workers", "params.")
+            val state = part(params, "state", "params.")
+            val cloud = part(params, "cloud", "params.")
+            val limits = params.given("machine_limits")
+            val sockets = within("params.machine_limits") { limits?.amountOrNull("max_sockets") }?.toInt() ?: DEFAULT_SOCKETS
+            val peers = each(o.listOrEmpty("seeds"), "seeds") { Peer(it.text("host_name"), address(it, "address")) }
+            val cluster = Cluster(
+                within("params") { zones(params) }, within("params") { each(params.list("teams"), "teams", ::team) },
+                leaseMs = within(WORKERS) { millis(workers, "lease_s") }, reportMs = within(WORKERS) { millis(workers, "report_s") },
+                cancelMs = within(WORKERS) { millis(workers, "cancel_s") },
+                pageBytes = within(STATE) { (minOf(state.amount("value_kb") * 1024, MAX_PAGE_BYTES) * PAGE_FILL).toInt() },
+                pageGapMs = within(STATE) { (1000 / (positive(state, "write_rps") * PAGE_SHARE)).toLong().coerceAtLeast(MIN_PAGE_GAP_MS) },
+                maxSends = (sockets * SENDS_SHARE).toInt().coerceAtLeast(1),
+                startWithinS = within("params") {
+                    each(params.listOrEmpty("objectives").filter { it.textOrNull("kind") == "wait" }, "objectives") { it.text("class") to it.amount("within_s") }.toMap()
+                },
+            )
+            val stateLimits = within(STATE) {
+                StateLimits(
+                    positive(state, "rps"), positive(state, "write_rps"), state.count("txn_ops").toInt().coerceAtLeast(1), peers.size + 1,
+                    (state.amount("value_kb") * 1024).toInt(),
+                )
+            }
             return Settings(
                 o.text("host_name"), address(o, "api_addr"), address(o, "peer_listen"), peers,
-                address(external, "cloud"), address(external, "state"),
-                Cluster(
-                    Names().also { names -> params.list("zones").forEach { names.index(it.textValue() ?: invalid("zones")) } },
-                    params.list("teams").map(::team),
-                    leaseMs = millis(workers, "lease_s"), reportMs = millis(workers, "report_s"),
-                    cancelMs = millis(workers, "cancel_s"),
-                    pageBytes = (minOf(state.amount("value_kb") * 1024, MAX_PAGE_BYTES) * PAGE_FILL).toInt(),
-                    pageGapMs = (1000 / (positive(state, "write_rps") * PAGE_SHARE)).toLong().coerceAtLeast(MIN_PAGE_GAP_MS),
-                    maxSends = (sockets * SENDS_SHARE).toInt().coerceAtLeast(1),
-                    startWithinS = params.listOrEmpty("objectives").filter { it.textOrNull("kind") == "wait" }
-                        .associate { it.text("class") to it.amount("within_s") },
-                ),
-                StateLimits(
-                    positive(state, "rps"), positive(state, "write_rps"), state.count("txn_ops").toInt().coerceAtLeast(1),
-                    peers.size + 1, (state.amount("value_kb") * 1024).toInt(),
-                ),
-                positive(cloud, "rps"), millis(cloud, "list_lag_s"),
-                sockets,
+                within("external") { address(external, "cloud") }, within("external") { address(external, "state") }, cluster, stateLimits,
+                within(CLOUD) { positive(cloud, "rps") }, within(CLOUD) { millis(cloud, "list_lag_s") }, sockets,
             )
         }
 
+        /** What is wrong inside of [path] is told with the whole way to it. */
+        private inline fun <T> within(path: String, read: () -> T): T =
+            try {
+                read()
+            } catch (e: MalformedException) {
+                throw MalformedException("$path.${e.message}")
+            }
+
+        private fun <T> each(all: List<JsonNode>, path: String, read: (JsonNode) -> T): List<T> = all.mapIndexed { i, o -> within("$path[$i]") { read(o) } }
+
+        private fun zones(params: JsonNode): Names {
+            val zones = params.list("zones").map { it.textValue()?.takeIf(String::isNotEmpty) ?: invalid("zones") }
+            if (zones.size !in 1..Cluster.MOST_ZONES) throw MalformedException("zones has ${zones.size} entries, but must have 1 to ${Cluster.MOST_ZONES}")
+            zones.groupBy { it }.values.firstOrNull { it.size > 1 }?.let { throw MalformedException("zones has ${it[0]} twice") }
+            return Names().also { names -> zones.forEach(names::index) }
+        }
+
         private fun team(t: JsonNode) = Team(
             t.text("name"),
             Resources(t.amountOrNull("cpus") ?: 0.0, t.amountOrNull("gpus") ?: 0.0, 0.0),
             Resources(t.amountOrNull("cpus_max") ?: 0.0, t.amountOrNull("gpus_max") ?: 0.0, 0.0),
         )
 
-        private fun part(o: JsonNode, name: String) = o.given(name)?.takeIf { it.isObject } ?: invalid(name)
+        private fun part(o: JsonNode, name: String, path: String = "") = o.given(name)?.takeIf { it.isObject } ?: invalid("$path$name")
 
         private fun positive(o: JsonNode, name: String) = o.amount(name).takeIf { it > 0 } ?: invalid(name)
 
@@ -91,6 +110,9 @@
 
         private fun invalid(name: String): Nothing = throw MalformedException("$name is missing or invalid")
 
+        private const val WORKERS = "params.workers"
+        private const val STATE = "params.state"
+        private const val CLOUD = "params.cloud"
         private const val DEFAULT_SOCKETS = 1000
 
         /** Larger pages would only cost more to write again. */
--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -4,11 +4,12 @@
 import org.honeyjunction.app.Node
 import org.honeyjunction.app.Settings
 import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Loop
 import java.io.IOException
 
 /** Real controllers, each on a thread of its own as in a process of its own; they can be killed, hung and started again. */
-class Controllers(private val settings: List<Settings>, private val tuning: Tuning) {
+class Controllers(private val settings: List<Settings>, private val tuning: Tuning, private val clock: Clock = Clock) {
     private class Running(val loop: Loop, val node: Node)
 
     private val running = arrayOfNulls<Running>(settings.size)
@@ -16,7 +17,7 @@
 
     fun start(number: Int) {
         val loop = Loop()
-        val node = Node(settings[number], tuning, loop)
+        val node = Node(settings[number], tuning, loop, clock)
         running[number] = Running(loop, node)
         repeat(BIND_TRIES) {
             try {
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.app.UserApi
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.rules.Printer
+import org.honeyjunction.io.Clock
 import org.honeyjunction.rules.RulesDocument
 import org.honeyjunction.standin.Fault
 import org.honeyjunction.standin.Loopback
@@ -25,13 +26,15 @@
 import java.net.ServerSocket
 
 /** The whole service on loopback: real controllers, stand-ins of what is round them, and users. */
-class LocalCluster(settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit) {
+class LocalCluster(
+    settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit, clock: Clock = Clock,
+) {
     private val ports = ports(controllers * 2).map { "127.0.0.1:$it" }
     val nodes: List<String> = ports.take(controllers)
     private val peers = ports.drop(controllers)
     private val work = planned.associate { it.work.spec.id to it.work }
     val loopback: Loopback
-    private val controllers: Controllers
+    val controllers: Controllers
     val users: Users
 
     @Volatile
@@ -40,7 +43,7 @@
     init {
         val sample = settings.forNode(0, nodes, peers, 1, 1)
         loopback = Loopback(settings.loopback(sample), nodes.mapIndexed { i, a -> settings.name(i) to a }, seed) { work[it] }
-        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.statePorts[it], loopback.cloudPort) }, tuning)
+        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.statePorts[it], loopback.cloudPort) }, tuning, clock)
         users = Users(loopback.loop, nodes, loopback.watch, loopback::now)
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -144,7 +144,7 @@
 
     fun describe(machine: Machine, address: String?, type: String, zone: String, spot: Boolean) {
         if (address != null) machine.address = address
-        machine.type = cluster.typeNames.index(type)
+        machine.type = cluster.typeNames.indexWithin(type, Cluster.MOST_TYPES)
         // A zone that the settings do not have is none that a task could be started in.
         machine.zone = cluster.zones.find(zone)
         machine.spot = spot
@@ -180,7 +180,8 @@
         machine.placements[task.id] = placement
         task.job.add(placement)
         count(placement, 1)
-        machine.idleSince = Long.MIN_VALUE
+        // A start that only a record names, perhaps long over, does not end what is known of its idle time.
+        if (phase != Phase.UNHEARD) machine.idleSince = Long.MIN_VALUE
         touched += machine
         cluster.types[machine.type]?.let { machine.noteImage(task.job.image, task.job.spec.imageGb, it.cacheGb) }
         return placement
@@ -197,7 +198,8 @@
         }
         placement.task.waitingSince = now
         touched += machine
-        if (machine.placements.isEmpty()) machine.idleSince = now
+        val known = placement.phase == Phase.UNHEARD && machine.idleSince != Long.MIN_VALUE
+        if (machine.placements.isEmpty() && !known) machine.idleSince = now
     }
 
     private fun unlink(placement: Placement) {
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -140,7 +140,7 @@
         plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
         for (m in state.machines) {
             val idle = m.usable && m.placements.isEmpty() && m.idleSince != Long.MIN_VALUE && now - m.idleSince > state.tuning.idleMs
-            if (idle && m.index !in plan.keep && now - startedAt > state.tuning.idleMs) m.enter(MachinePhase.DRAINING)
+            if (idle && m.index !in plan.keep && now - startedAt > state.tuning.idleMs / SETTLED) m.enter(MachinePhase.DRAINING)
         }
     }
 
@@ -226,5 +226,8 @@
         const val MAX_RENT = 50
         const val RETRY_MS = 1_000L
         const val HOLD_PERIODS = 3
+
+        /** A new holder waits for this part of the idle time before it returns what was idle before its term. */
+        const val SETTLED = 3
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -7,7 +7,7 @@
  * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
  * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
  */
-class Hints(private val state: ClusterState) {
+class Hints(private val state: ClusterState, private val wallOffset: Long) {
     private var pages = 0
     private var next = 0
     private var nextAt = Long.MIN_VALUE
@@ -22,7 +22,7 @@
         pages = maxOf(pages, (known.size + perPage - 1) / perPage)
         if (pages == 0) return
         val page = next++ % pages
-        val machines = known.drop(page * perPage).take(perPage).map(::hint)
+        val machines = known.drop(page * perPage).take(perPage).map { hint(it, now) }
         if (written[page] == machines) return
         busy = true
         state.commit(listOf(Change.Hints(page, machines))) { outcome ->
@@ -31,9 +31,11 @@
         }
     }
 
-    private fun hint(m: Machine) = MachineHint(
+    private fun hint(m: Machine, now: Long) = MachineHint(
         m.name, m.address, state.cluster.typeNames.name(m.type), state.cluster.zones.name(m.zone), m.spot, m.session,
         m.images.entries.toList().takeLast(MAX_IMAGES).associate { (image, gb) -> state.cluster.images.name(image) to gb },
+        // Short pauses between tasks are not worth a write.
+        m.idleSince.takeIf { it != Long.MIN_VALUE && now - it > state.tuning.idleMs / WORTH_TELLING }?.let { it + wallOffset },
     )
 
     private companion object {
@@ -41,5 +43,6 @@
         const val GAPS = 8
         const val MACHINE_BYTES = 500
         const val MAX_IMAGES = 6
+        const val WORTH_TELLING = 3
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -42,7 +42,7 @@
     /** Only where rules are switched on: it costs memory, and time with each start. */
     private val explainer = if (tuning.rules) Explainer(state) else null
     private val starts = Starts(state, ledger, explainer)
-    private val hints = Hints(state)
+    private val hints = Hints(state, wallNow - startedAt)
     private val fleet = Fleet(state, queue, startedAt, listLagMs)
     private val round = Round(tuning.cost)
     private val heardFrom = HashMap<String, Long>()
@@ -56,7 +56,7 @@
 
     init {
         recovered.jobs.forEach { state.addJob(it, startedAt, wallNow) }
-        recovered.machines.forEach { recover(it, startedAt) }
+        recovered.machines.forEach { recover(it, startedAt, wallNow) }
         // All results first: what is done need not be looked for on any machine.
         val results = recovered.pages.associateWith { page -> page.done.flatMap { (id, numbers) -> tasks(id, numbers) } }
         results.values.flatten().forEach(lifecycle::restore)
@@ -66,12 +66,14 @@
 
     private fun tasks(id: String, numbers: List<Int>) = state.job(id)?.tasks?.let { all -> numbers.mapNotNull(all::getOrNull) }.orEmpty()
 
-    private fun recover(hint: MachineHint, now: Long) {
+    private fun recover(hint: MachineHint, now: Long, wallNow: Long) {
         val machine = state.addMachine(hint.name, now)
         state.describe(machine, hint.address, hint.type, hint.zone, hint.spot)
         machine.recovered = true
         machine.session = hint.session
         machine.sequence = -1
+        // Paid for and unused across any number of terms: the time goes on, unless it is found to have tasks.
+        hint.idleSinceWall?.let { machine.idleSince = now - (wallNow - it).coerceAtLeast(0) }
         hint.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -75,6 +75,8 @@
     val session: Long,
     /** What its cache was believed to hold, so that a new holder knows where tasks would be local. */
     val images: Map<String, Double>,
+    /** By the time of day, in milliseconds: since when it has had nothing to do; null: it had, or not for long yet. */
+    val idleSinceWall: Long? = null,
 )
 
 sealed interface CommitOutcome {
--- a/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Cluster.kt
@@ -72,4 +72,10 @@
     private val teamIndex = Names().also { names -> teams.forEach { names.index(it.name) } }
 
     fun team(name: String): Int = teamIndex.find(name)
+
+    companion object {
+        /** Zones and machine types are bits of a mask: the 65th would pass for the first. */
+        const val MOST_ZONES = 64
+        const val MOST_TYPES = 64
+    }
 }
--- a/src/main/kotlin/org/honeyjunction/core/model/Names.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Names.kt
@@ -17,6 +17,9 @@
         return names.size - 1
     }
 
+    /** As [index], but no more than [most] names: one that is new beyond them is [ABSENT]. */
+    fun indexWithin(name: String, most: Int): Int = if (find(name) == ABSENT && size >= most) ABSENT else index(name)
+
     fun find(name: String): Int = indices.getValue(name)
 
     /** The name may come again, with another index. */
--- a/src/main/kotlin/org/honeyjunction/wire/CloudCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/CloudCodec.kt
@@ -5,22 +5,30 @@
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.MachineType
+import org.honeyjunction.core.model.Names
 import org.honeyjunction.core.model.Resources
 
 /** What the cloud says and is asked. */
 object CloudCodec {
     class Page(val machines: List<Listed>, val more: Boolean)
 
+    /** Throws where there are more types or zones than can be told apart. */
     fun types(body: ByteArray, cluster: Cluster): Map<Int, MachineType> =
         Json.readObject(body).list("HiveKinds").associate { o ->
             val name = o.text("Sku")
-            cluster.typeNames.index(name) to MachineType(
+            bounded(cluster.typeNames.indexWithin(name, Cluster.MOST_TYPES), "HiveKinds: more than ${Cluster.MOST_TYPES}") to MachineType(
                 name, Resources(o.amount("Vcpus"), o.amount("Gpus"), o.amount("MemoryGb")),
                 o.amount("CacheGb"), o.amount("FetchGbPerS"), o.amount("Hourly"), o.amount("LowPrice"),
-                o.amount("StartupS"), o.list("Meadows").map { cluster.zones.index(it.textValue()) },
+                o.amount("StartupS"),
+                o.list("Meadows").map { z ->
+                    val zone = z.textValue() ?: throw MalformedException("Meadows is invalid")
+                    bounded(cluster.zones.indexWithin(zone, Cluster.MOST_ZONES), "Meadows: more than ${Cluster.MOST_ZONES} zones")
+                },
             )
         }
 
+    private fun bounded(index: Int, otherwise: String): Int = if (index == Names.ABSENT) throw MalformedException(otherwise) else index
+
     fun rent(e: Effect.Rent): ByteArray = Json.write(
         Json.obj().put("SwarmCall", e.request).put("HiveKind", e.type).put("Meadow", e.zone)
             .put("BorrowedHives", e.offer.spot).put("Count", e.count),
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -93,6 +93,7 @@
         for (m in machines) {
             val o = putObject(m.name)
             o.put("address", m.address).put("type", m.type).put("zone", m.zone).put("spot", m.spot).put("session", m.session)
+            m.idleSinceWall?.let { o.put("idle", it) }
             val images = o.putObject("images")
             m.images.forEach { (name, gb) -> images.put(name, gb) }
         }
@@ -102,6 +103,7 @@
         MachineHint(
             name, o.textOrNull("address"), o.text("type"), o.text("zone"), o.flag("spot"), o.count("session"),
             o.given("images")?.properties().orEmpty().associate { (image, gb) -> image to gb.doubleValue() },
+            o.given("idle")?.longValue(),
         )
     }
 
--- a/src/test/kotlin/org/honeyjunction/app/SettingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SettingsTest.kt
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode
 import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.wire.CloudCodec
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -34,6 +35,7 @@
     @CsvSource(
         delimiter = '|',
         value = [
+            "/params/zones|[]", "/params/zones|[\"a\",\"a\"]", "/params/teams/0/gpus|\"4\"", "/params/machine_limits/max_sockets|-1",
             "/host_name|null", "/api_addr|\"localhost:80\"", "/api_addr|\"10.0.0.1\"", "/external|7", "/external/state|null",
             "/params/zones|\"a\"", "/params/teams|null", "/params/workers/lease_s|-1", "/params/workers/report_s|\"3\"",
             "/params/state/write_rps|0", "/params/state/txn_ops|1.5", "/params/cloud|null",
@@ -45,7 +47,27 @@
         val name = path.substringAfterLast('/')
         parent.set<ObjectNode>(name, Json.read(value.toByteArray()))
         val e = assertThrows(MalformedException::class.java) { Settings.parse(o) }
-        assertTrue(name in e.message!!, e.message)
+        // Array positions stand in brackets, and the way to the field is whole.
+        val way = path.drop(1).replace(Regex("/([0-9]+)"), "[$1]").replace('/', '.')
+        assertTrue(e.message!!.startsWith(way), "${e.message} for $way")
+    }
+
+    @Test
+    fun `zones and types that are bits of a mask are refused beyond 64`() {
+        // The 65th zone would pass for the first, and a task be started where it must not be.
+        val o = file()
+        fun zones(n: Int) = (o.get("params") as ObjectNode).putArray("zones").apply { repeat(n) { add("z$it") } }
+        zones(64)
+        assertEquals(64, Settings.parse(o).cluster.zones.size)
+        zones(65)
+        assertTrue("64" in assertThrows(MalformedException::class.java) { Settings.parse(o) }.message!!)
+        val cluster = Settings.parse(file()).cluster
+        fun types(n: Int, zone: (Int) -> String) = """{"HiveKinds":[${(0 until n).joinToString(",") {
+            """{"Sku":"t$it","Vcpus":1,"Gpus":0,"MemoryGb":1,"CacheGb":1,"FetchGbPerS":1,"Hourly":1,"LowPrice":1,"StartupS":1,"Meadows":["${zone(it)}"]}"""
+        }}]}""".toByteArray()
+        assertEquals(64, CloudCodec.types(types(64) { "a" }, cluster).size)
+        assertThrows(MalformedException::class.java) { CloudCodec.types(types(65) { "a" }, cluster) }
+        assertThrows(MalformedException::class.java) { CloudCodec.types(types(64) { "zone-$it" }, cluster) }
     }
 
     @Test
--- a/src/test/kotlin/org/honeyjunction/sim/World.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/World.kt
@@ -17,8 +17,11 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.model.Team
+import org.honeyjunction.core.rules.RuleSet
+import org.honeyjunction.core.rules.Test
 import org.honeyjunction.standin.Box
 import org.honeyjunction.standin.Gangs
+import org.honeyjunction.standin.Reference
 import org.honeyjunction.standin.Watch
 import org.honeyjunction.standin.Work
 import org.honeyjunction.standin.Worker
@@ -26,7 +29,7 @@
 import java.util.Random
 
 /** Whole cores in virtual time, against stand-ins; after every step the rules are asserted. */
-class World(seed: Long, private val capacity: Int = 12, private val limits: Map<String, Double> = LIMITS) {
+class World(seed: Long, private val capacity: Int = 12, private val limits: Map<String, Double> = LIMITS, rules: RuleSet = RuleSet.NONE) {
     val random = Random(seed)
     var now = 0L
         private set
@@ -46,6 +49,29 @@
     var holder: Core? = null
         private set
     var cloudDown = false
+    var rentedInAll = 0
+        private set
+
+    /** What the state service has; every new holder reads it first. */
+    var rules = rules
+        private set
+
+    init {
+        watch.onStart = ::judge
+    }
+
+    fun apply(next: RuleSet) {
+        rules = next
+        holder?.run { useRules(next) }
+    }
+
+    /** Musts that are certain, and that nothing stands beside what a rule keeps away; of the rules that were in force a moment ago too. */
+    private fun judge(start: Watch.Start) {
+        val boxes = listOf(start.worker.box)
+        for (v in Reference(rules).judge(start.task.spec, start.worker.box, start.beside, boxes)) {
+            if (v.must && !v.met && (v.sure || v.test is Test.Not && (v.test as Test.Not).of is Test.Runs)) watch.note(now, "rule ${v.rule}: ${start.task.id} on ${start.worker.name}")
+        }
+    }
 
     private class Event(val at: Long, val order: Long, val run: () -> Unit)
 
@@ -53,7 +79,7 @@
     inner class Core(val term: Long) {
         var alive = true
         var reachable = true
-        val holder = Holder(cluster(limits), Tuning(), term, "n", state.recovered(), now, now, LAG).also { it.leaseUntil(now + LEASE) }
+        val holder = Holder(cluster(limits), Tuning(rules = rules.version > 0), term, "n", state.recovered(), now, now, LAG, rules).also { it.leaseUntil(now + LEASE) }
 
         fun run(block: Holder.() -> Unit) {
             if (!alive) return
@@ -81,9 +107,9 @@
         at(100) { tick(core) }
     }
 
-    fun submit(id: Int, kind: JobKind, tasks: Int, team: String = "a", spot: Boolean = false, spread: Boolean = false, oneZone: Boolean = false, gpus: Int = 1, seconds: Double = 8.0, checkpoint: Double = 0.0, jobClass: String = "c"): String {
+    fun submit(id: Int, kind: JobKind, tasks: Int, team: String = "a", spot: Boolean = false, spread: Boolean = false, oneZone: Boolean = false, gpus: Int = 1, seconds: Double = 8.0, checkpoint: Double = 0.0, jobClass: String = "c", priority: Priority = Priority.NORMAL): String {
         val spec = JobSpec(
-            "j-$id", jobClass, team, kind, Priority.NORMAL, tasks, Resources(gpus * 1.0, gpus.toDouble(), gpus * 1.0),
+            "j-$id", jobClass, team, kind, priority, tasks, Resources(gpus * 1.0, gpus.toDouble(), gpus * 1.0),
             "i${id % 3}", 2.0, null, null, oneZone, spread, spot, seconds, checkpoint, 1.0, null,
         )
         val stored = state.submit(StoredJob(spec, "n", now, 0, JobStage.ACTIVE))
@@ -150,7 +176,7 @@
         if (cloudDown) return core.run { rentalUnknown(e.request, now) }
         val names = rentals.getOrPut(e.request) {
             val free = capacity - workers.size - booting.size
-            List(minOf(free, e.count).coerceAtLeast(0)) { "vm-%05d".format(++names) }
+            List(minOf(free, e.count).coerceAtLeast(0)) { "vm-%05d".format(++names) }.also { rentedInAll += it.size }
         }
         for (name in names) {
             if (name in workers || name in booting) continue
