--- a/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/CostMatrix.kt
@@ -1,6 +1,8 @@
 package org.honeyjunction.core.placement
 
 import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.rules.RuleTable
+import org.honeyjunction.core.rules.RuleView
 import kotlin.math.max
 import kotlin.math.min
 
@@ -8,10 +10,9 @@
 class Slot(val room: Room, val place: Int, val soon: Soon? = null)
 
 /** FC + DLC, as the paper's formulas (4) to (9) have it; see docs/design.md for what is added and why. */
-class CostMatrix(private val summary: Summary, private val settings: CostSettings) {
+class CostMatrix(private val summary: Summary, private val settings: CostSettings, private val rules: RuleView = RuleView(summary.rules)) {
     private val weights = weights(summary.teams)
     private val running = summary.teams.sumOf { it.running }
-    private val rules = summary.rules
 
     /** Formula (6), from (5). */
     fun groupCost(team: Int): Double {
@@ -28,7 +29,9 @@
         // Tasks of a job are alike: one row of each says how many fit.
         val samples = rows.distinctBy { it.job }
         val all = summary.rooms.flatMap { room ->
-            val allowed = samples.filter { it.allows(room) && (it.shape < 0 || rules.barred(it.shape, room.scene, it.mates) == null) }
+            val scene = if (rules.empty) RuleTable.Scene.NOWHERE else room.scene
+            val index = if (rules.empty) 0 else rules.scene(scene)
+            val allowed = samples.filter { it.allows(room) && (it.shape < 0 || !rules.bars(it.shape, scene, index, it.mates)) }
             val fits = allowed.maxOfOrNull { it.need.countIn(room.free) } ?: 0
             // Where every image would have to be fetched, one slot a pass: the next pass knows which image is on its way,
             // so that the tasks of one image come to lie on one machine and one fetch serves them. Jobs that are placed
@@ -98,8 +101,9 @@
     /** Without the rows that rules keep from every slot: they would only take the place of others when rows are cut. */
     fun notBarred(rows: List<Row>, slots: List<Slot>): List<Row> {
         if (rules.empty) return rows
-        val rooms = slots.map { it.room }.distinctBy { it.machine }
-        val barred = rows.filter { it.shape >= 0 }.distinctBy { it.job }.filter { row -> rooms.all { rules.barred(row.shape, it.scene, row.mates) != null } }.mapTo(HashSet()) { it.job }
+        val scenes = slots.map { it.room }.distinctBy { it.machine }.map { it.scene }.map { it to rules.scene(it) }
+        val barred = rows.filter { it.shape >= 0 }.distinctBy { it.job }
+            .filter { row -> scenes.all { (scene, index) -> rules.bars(row.shape, scene, index, row.mates) } }.mapTo(HashSet()) { it.job }
         return rows.filter { it.job !in barred }
     }
 
@@ -110,10 +114,10 @@
     fun ruleCosts(rows: List<Row>, slots: List<Slot>): Map<Int, DoubleArray> {
         if (rules.empty) return emptyMap()
         return rows.filter { it.shape >= 0 }.distinctBy { it.job }.associate { row ->
-            val minds = rules.minds(row.shape)
+            val minds = rules.table.minds(row.shape)
             row.job to DoubleArray(slots.size) { c ->
                 val scene = slots[c].room.scene.with(row.shape, if (minds) slots[c].place else 0)
-                val cost = rules.cost(row.shape, scene, row.mates)
+                val cost = rules.cost(row.shape, scene, rules.scene(scene), row.mates)
                 if (cost == Double.POSITIVE_INFINITY) BARRED else settings.alpha * min(cost, MAX_RULES_GB)
             }
         }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Round.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.rules.RuleTable
+import org.honeyjunction.core.rules.RuleView
 
 /** One round of lsap-fair-sched: a pure function from a summary to proposed starts. */
 class Round(private val settings: CostSettings = CostSettings()) {
@@ -9,10 +10,11 @@
         var rooms = summary.rooms
         var waiting = summary.rows
         val chosen = ArrayList<Proposal>()
+        val rules = RuleView(summary.rules)
         // Slots are cut for the smallest task, so a larger neighbour can leave one too small: go on with what is left.
         repeat(MAX_PASSES) {
             val current = Summary(rooms, summary.teams, summary.slots, waiting, summary.rules)
-            val (taken, awaiting) = pass(current)
+            val (taken, awaiting) = pass(current, rules)
             if (taken.isEmpty() && awaiting.isEmpty()) return chosen
             chosen += taken
             val byTask = waiting.associateBy { it.job to it.task }
@@ -43,12 +45,12 @@
     }
 
     /** What is to start now, and the rows that had better wait for the slot that they were assigned. */
-    private fun pass(summary: Summary): Pair<List<Proposal>, Map<Row, Slot>> {
-        val matrix = CostMatrix(summary, settings)
+    private fun pass(summary: Summary, rules: RuleView): Pair<List<Proposal>, Map<Row, Slot>> {
+        val matrix = CostMatrix(summary, settings, rules)
         val ordered = matrix.order(summary.rows)
         val slots = matrix.slots(ordered)
         if (slots.isEmpty()) return emptyList<Proposal>() to emptyMap()
-        val companions = Companions(summary, settings)
+        val companions = Companions(summary, settings, rules)
         val rows = companions.choose(chooseZones(matrix.notBarred(ordered, slots), summary.rooms)).take(2 * slots.size)
             // Among equal costs, tasks of one image come to lie on slots side by side: one fetch serves them all.
             .sortedWith(compareByDescending<Row> { it.priority }.thenBy { it.image })
--- a/src/main/kotlin/org/honeyjunction/core/rules/RuleTable.kt
+++ b/src/main/kotlin/org/honeyjunction/core/rules/RuleTable.kt
@@ -124,6 +124,13 @@
 
     fun asksSame(shape: Int): Boolean = shape >= 0 && clausesOf[shape].any { clauses[it].same }
 
+    /** The labels that rules ask the tasks of [shape] to share. */
+    fun sameLabels(shape: Int): List<Int> {
+        val labels = sortedSetOf<Int>()
+        clausesOf[shape].forEach { c -> clauses[c].test.has { if (it is Expr.Same) labels += it.label; false } }
+        return labels.toList()
+    }
+
     /** Whether the verdict on a second task of [shape] on one machine may differ from that on the first. */
     fun minds(shape: Int): Boolean = shape >= 0 && clausesOf[shape].any { c ->
         clauses[c].test.has { it is Expr.Runs && it.shapes[shape] }
--- a/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
@@ -109,7 +109,7 @@
     @CsvSource(
         "aabb,4,0,2", "aaabb,4,0,3", "abcd,4,0,1", "aaaa,4,0,4", "abbbbc,4,0,4",
         // It may wait a little for something better, but only where there is something to gain.
-        "aabb,4,90000,0", "aaaab,4,90000,4",
+        "aabb,4,90000,0", "aaaab,4,90000,4", "baaaa,4,90000,4", "bbcaaaa,4,90000,4",
     )
     fun `a gang prefers one rack`(racks: String, tasks: Int, patienceMs: Long, together: Int) {
         val s = Setting("rule \"r\" for kind gang { prefer same rack weight 20 }", racks)
