--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -61,7 +61,9 @@
         val rules = node.rules ?: return verdict
         if (verdict != Verdict.Fits) return verdict
         if (!rules.known && rules.current.version == 0L) return Verdict.UnknownYet
-        return rules.book.forbids(spec)?.let { Verdict.Never("rule \"${it.name}\" forbids every machine that there could be for it") } ?: verdict
+        val forbidding = rules.book.forbidding(spec)
+        if (forbidding.isEmpty()) return verdict
+        return Verdict.Never("every machine that there could be for it is forbidden by ${forbidding.joinToString(" and ") { "rule \"${it.name}\"" }}")
     }
 
     /** Whether such a job was ever accepted. */
--- a/src/main/kotlin/org/honeyjunction/core/rules/RuleBook.kt
+++ b/src/main/kotlin/org/honeyjunction/core/rules/RuleBook.kt
@@ -113,24 +113,26 @@
     /** Whether the tasks of [shape] must all be in one zone. */
     fun mustShareZone(shape: Int): Boolean = shape >= 0 && table.clausesOf[shape].any { clause(it).weight == null && clause(it).test == Test.Same(Attribute.Zone) }
 
-    /** The rule that keeps [spec] from every machine that there could ever be; null where some machine may do. */
-    fun forbids(spec: JobSpec): Rule? {
-        if (empty) return null
-        var found: Rule? = null
+    /**
+     * The rules that keep [spec] from every machine that there could ever be: one that does so alone, or all that do it
+     * together. Empty where some machine may do.
+     */
+    fun forbidding(spec: JobSpec): List<Rule> {
+        if (empty) return emptyList()
         val shape = Shape(spec)
         val musts = owners.filter { (rule, clause) -> clause.weight == null && matches(rule.who, shape) }
-        for ((index, type) in cluster.types) {
-            if (!spec.mayUse(type)) continue
-            val zones = cluster.zonesFor(spec, type)
-            for (zone in type.zones) {
-                if ((zones shr zone) and 1L == 0L) continue
-                for (spot in if (spec.spot) listOf(false, true) else listOf(false)) {
-                    val place = unnamed(index, zone, spot)
-                    found = musts.firstOrNull { (_, clause) -> foresee(clause.test, place, fresh = false) == false }?.first ?: return null
-                }
-            }
+        val against = offersFor(spec).map { place -> musts.filter { (_, clause) -> foresee(clause.test, place, fresh = false) == false }.map { it.first }.toSet() }
+        if (against.any { it.isEmpty() }) return emptyList()
+        val alone = against.reduceOrNull { a, b -> a intersect b }.orEmpty()
+        val together = against.flatten().toSet()
+        return set.rules.filter { it in alone }.take(1).ifEmpty { set.rules.filter { it in together } }
+    }
+
+    private fun offersFor(spec: JobSpec): List<Place> = cluster.types.filterValues(spec::mayUse).flatMap { (index, type) ->
+        val zones = cluster.zonesFor(spec, type)
+        type.zones.filter { (zones shr it) and 1L != 0L }.flatMap { zone ->
+            listOf(false, true).filter { spec.spot || !it }.map { unnamed(index, zone, it) }
         }
-        return found
     }
 
     private fun unnamed(type: Int, zone: Int, spot: Boolean) =
--- a/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
@@ -159,6 +159,25 @@
         assertEquals(listOf(2), placed.map { it.job })
     }
 
+    @ParameterizedTest(name = "{0}: {1}")
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "rule \"gpus\" for all { must machine.gpus >= 9 }                                                      | gpus",
+            "rule \"zone\" for all { must machine.zone = \"x\" } rule \"gpus\" for all { must machine.gpus >= 9 }  | gpus",
+            "rule \"x\" for all { must machine.zone = \"x\" } rule \"y\" for all { must not machine.zone = \"x\" } | x y",
+            "rule \"rack\" for all { must machine.rack = \"a\" }                                                  | ",
+            "rule \"zone\" for all { must machine.zone = \"x\" }                                                  | ",
+            "rule \"other\" for class \"z\" { must machine.gpus >= 9 }                                             | ",
+            "rule \"beside\" for all { must machine runs class \"b\" }                                            | ",
+        ],
+    )
+    fun `the rules that no machine could ever meet are named`(rules: String, expected: String?) {
+        // A name pattern may still give a machine that is to come the label, and something may run there by then.
+        val s = Setting(rules, "a")
+        assertEquals(expected.orEmpty(), s.book.forbidding(s.spec(1, "q")).joinToString(" ") { it.name })
+    }
+
     /** With one slot a machine, a round under rules is one assignment: the reference tries them all, by names. */
     @Property(tries = 300, seed = "3")
     fun `no barred cell, and the optimum`(@ForAll("cases") case: Case) {
