Controllers on loopback keep their ports reserved; the hash test changes what still reads well

Cause: a port was chosen, freed and bound again later, so that clusters started together could take each other's; the retry bound the same node twice. One test run in a clean clone failed by it. Change: each address is held by a bound socket that does not listen; every try has a node of its own. Breaking the hash check was not noticed, since the tampered part was no JSON; it now reads well and differs.

--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -16,14 +16,15 @@
     val size get() = settings.size
 
     fun start(number: Int) {
-        val loop = Loop()
-        val node = Node(settings[number], tuning, loop, clock)
-        running[number] = Running(loop, node)
         repeat(BIND_TRIES) {
+            val loop = Loop()
+            val node = Node(settings[number], tuning, loop, clock)
+            running[number] = Running(loop, node)
             try {
                 return node.start()
             } catch (e: IOException) {
                 // The address of one that was killed a moment ago may still be closing.
+                kill(number)
                 if (it == BIND_TRIES - 1) throw e
                 Thread.sleep(BIND_MS)
             }
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -23,13 +23,16 @@
 import org.honeyjunction.wire.listOrEmpty
 import org.honeyjunction.wire.text
 import org.honeyjunction.wire.textOrNull
-import java.net.ServerSocket
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.SocketChannel
 
 /** The whole service on loopback: real controllers, stand-ins of what is round them, and users. */
 class LocalCluster(
     settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit, clock: Clock = Clock,
 ) {
-    private val ports = ports(controllers * 2).map { "127.0.0.1:$it" }
+    private val reserved = List(controllers * 2) { reserve() }
+    private val ports = reserved.map { "127.0.0.1:${(it.localAddress as InetSocketAddress).port}" }
     val nodes: List<String> = ports.take(controllers)
     private val peers = ports.drop(controllers)
     private val work = planned.associate { it.work.spec.id to it.work }
@@ -144,12 +147,16 @@
     fun close() {
         controllers.close()
         loopback.close()
+        reserved.forEach { it.close() }
     }
 
     private companion object {
         const val MAX_CLAUSE = 20_000
 
-        /** Free ports, as the system chooses them. */
-        fun ports(count: Int): List<Int> = List(count) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+        /**
+         * A port that the system chooses, and gives to nobody else while this socket is bound to it; it does not listen, so
+         * a controller can, again and again.
+         */
+        fun reserve(): SocketChannel = SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(InetSocketAddress("127.0.0.1", 0))
     }
 }
--- a/src/test/kotlin/org/honeyjunction/app/RulesKeeperTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/RulesKeeperTest.kt
@@ -124,7 +124,7 @@
         val k = keeper(0)
         on(0) { k.apply(document(1), null) }
         val key = parts()[1]
-        store.commit(emptyMap(), listOf(Store.Put(key, Json.text("something else"), null)), clock.steady())
+        store.commit(emptyMap(), listOf(Store.Put(key, Json.text(store[key]!!.value.textValue().replace("gpus >= 1", "gpus >= 2")), null)), clock.steady())
         val fresh = keeper(1)
         val failure = on(1) { runCatching { fresh.refresh() }.exceptionOrNull() }
         assertTrue(failure is org.honeyjunction.io.StateUnavailableException, "$failure")
