One check of where a job may run, one way to the holder, one formula of fairness

Change: ClusterState.suits, Queue.teams with CostMatrix.groupCost, UserApi.forward and later serve both; parameters and functions that nobody used are gone.

--- a/src/main/kotlin/org/honeyjunction/app/RulesApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/RulesApi.kt
@@ -1,12 +1,12 @@
 package org.honeyjunction.app
 
 import com.fasterxml.jackson.databind.node.ObjectNode
+import org.honeyjunction.app.UserApi.Companion.later
 import org.honeyjunction.rules.RulesDocument
 import org.honeyjunction.wire.ExplainCodec
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
-import org.honeyjunction.wire.PeerMessage
 import org.honeyjunction.wire.Request
 import org.honeyjunction.wire.Response
 import org.honeyjunction.wire.count
@@ -41,7 +41,7 @@
     /** The version by which the holder places; null where it can't be asked. */
     private suspend fun inForce(): Long? {
         node.certainHolder?.let { return it.holder.rulesVersion }
-        val answer = node.askHolder(PeerMessage.Forward("GET", VERSION, Response.NO_BODY), ASK_MS) as? PeerMessage.Answer ?: return null
+        val answer = node.users.forward(Request("GET", VERSION, Response.NO_BODY)) ?: return null
         return if (answer.status == 200) Json.readObject(answer.body).given("version")?.longValue()?.takeIf { it >= 0 } else null
     }
 
@@ -69,9 +69,7 @@
         if (!JobCodec.isId(id)) return Response(404, Json.error("no such job"))
         val driver = node.certainHolder
         if (driver == null) {
-            if (forwarded) return later("no node is sure to hold the term")
-            val answer = node.askHolder(PeerMessage.Forward(r.method, r.path, r.body), ASK_MS) as? PeerMessage.Answer ?: return later("the holder of the term does not answer")
-            return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
+            return if (forwarded) later(UserApi.NO_HOLDER) else node.users.forward(r) ?: later("the holder of the term does not answer")
         }
         val now = node.clock.steady()
         val job = driver.holder.state.job(id)
@@ -84,13 +82,10 @@
         else Response(404, Json.error("no such job"))
     }
 
-    private fun later(why: String) = Response(503, Json.error(why), retryAfterS = 1)
-
     companion object {
         const val RULES = "/v2/rules"
         const val VERSION = "/v2/rules/version"
         const val EXPLAIN = "/explain"
-        private const val ASK_MS = 1_500L
         private const val MAX_TASKS = 200
 
         /** Refused where rules are off. */
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -119,7 +119,8 @@
         return Response(200, JobCodec.answer(id, status, counts = false))
     }
 
-    private suspend fun forward(r: Request): Response? {
+    /** The holder's answer to [r]; null where it gives none. */
+    suspend fun forward(r: Request): Response? {
         val answer = node.askHolder(PeerMessage.Forward(r.method, r.path, r.body), FORWARD_MS) as? PeerMessage.Answer ?: return null
         return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
     }
@@ -140,12 +141,12 @@
     private fun status(job: StoredJob) =
         JobStatus(job.stage, if (job.stage == JobStage.DONE) job.spec.tasks else 0, 0)
 
-    /** Refused at once; the user is told when to come back. */
-    private fun later(why: String) = Response(503, Json.error(why), retryAfterS = RETRY_S)
-
     companion object {
+        /** Refused at once; the user is told when to come back. */
+        fun later(why: String) = Response(503, Json.error(why), retryAfterS = RETRY_S)
+
         const val RUNS = "/v2/runs"
-        private const val NO_HOLDER = "no node is sure to hold the term"
+        const val NO_HOLDER = "no node is sure to hold the term"
         private const val CANCEL = "/cancel"
         private const val MAX_FINALS = 20_000
         private const val RETRY_S = 1
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -171,8 +171,8 @@
         if (!book.table.asksSame(job.shape)) emptyList() else job.placements.filter { it.task !== task }.map { it.machine.place }
 
     /** The must that forbids [task] of [job] to start on [machine] as things stand; null: none. */
-    fun barred(job: Job, task: Task?, machine: Machine, leaving: Set<Placement> = emptySet()): RuleTable.Breach? =
-        if (job.shape < 0) null else book.table.barred(job.shape, scene(machine, leaving), mates(job, task))
+    fun barred(job: Job, task: Task?, machine: Machine): RuleTable.Breach? =
+        if (job.shape < 0) null else book.table.barred(job.shape, scene(machine), mates(job, task))
 
     fun place(task: Task, machine: Machine, attempt: Long, phase: Phase, now: Long): Placement {
         val placement = Placement(task, machine, attempt, phase, now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
@@ -8,7 +8,8 @@
 import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.model.mayUse
-import org.honeyjunction.core.model.zonesFor
+import org.honeyjunction.core.placement.CostMatrix
+import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.Printer
 import org.honeyjunction.core.rules.RuleTable
 
@@ -33,7 +34,7 @@
 )
 
 /** Remembers for a while why tasks were placed where they are, and tells why others wait. Bounded in time and number. */
-class Explainer(private val state: ClusterState) {
+class Explainer(private val state: ClusterState, private val queue: Queue) {
     private class Kept(val at: Long, val explanation: Explanation)
 
     private val kept = object : LinkedHashMap<String, Kept>() {
@@ -49,11 +50,9 @@
     fun note(placement: Placement, local: Boolean, now: Long) {
         val task = placement.task
         kept.remove(task.id)
-        kept[task.id] = Kept(now, explain(task, placement.machine, now, if (local) 0.0 else state.tuning.cost.alpha * task.job.spec.imageGb, now))
+        kept[task.id] = Kept(now, explain(task, placement.machine, now, if (local) 0.0 else state.tuning.cost.alpha * task.job.spec.imageGb))
     }
 
-    val size get() = kept.size
-
     fun step(now: Long) {
         while (kept.isNotEmpty() && now - kept.values.first().at > state.tuning.explainMs) kept.remove(kept.keys.first())
     }
@@ -67,7 +66,7 @@
         val there = task.placements.firstOrNull() ?: return Explanation(
             task.id, null, null, state.book.set.version, emptyList(), fairness(task.job), 0.0, null, waits(task, now),
         )
-        return explain(task, there.machine, null, 0.0, now)
+        return explain(task, there.machine, null, 0.0)
     }
 
     /** What [id] was told to be when it was still known; for tasks of jobs that are over. */
@@ -76,7 +75,7 @@
         return kept[id]?.explanation
     }
 
-    private fun explain(task: Task, machine: Machine, decidedAt: Long?, locality: Double, now: Long): Explanation {
+    private fun explain(task: Task, machine: Machine, decidedAt: Long?, locality: Double): Explanation {
         val job = task.job
         val scene = state.scene(machine, setOfNotNull(machine.placements[task.id]))
         val table = state.book.table
@@ -85,7 +84,7 @@
             table.clausesOf[job.shape].mapTo(lines) { c -> line(c, table.holds(c, scene, gathering(job, c))) }
             table.unmet(job.shape, scene).filter { it.of != job.shape }.mapTo(lines) { line(it.clause, false) }
         }
-        val barred = sought.getOrPut(job.index) { barredBest(job, task, now) }
+        val barred = sought.getOrPut(job.index) { barredBest(job, task) }
             ?.takeIf { it.costGb < locality + lines.sumOf { l -> l.costGb ?: 0.0 } - SLACK }
         return Explanation(task.id, machine.name, decidedAt, table.version, lines, fairness(job), locality, barred, emptyList())
     }
@@ -106,18 +105,13 @@
     private fun localityGb(job: Job, machine: Machine): Double =
         if (job.image in machine.images) 0.0 else state.tuning.cost.alpha * job.spec.imageGb
 
-    /** Formula (6) of the paper, as the round has it. */
-    private fun fairness(job: Job): Double {
-        val running = state.cluster.teams.indices.sumOf { state.running(it) }
-        if (running == 0) return 0.0
-        val weight = state.cluster.teams.map { if (it.guarantee.gpus > 0) it.guarantee.gpus else it.guarantee.cpus }
-        val share = if (weight.sum() > 0) maxOf(LEAST_WEIGHT, weight[job.team] / weight.sum()) else 1.0 / weight.size
-        return state.running(job.team).toDouble() / running / share * 100
-    }
+    /** As the round has it. */
+    private fun fairness(job: Job): Double =
+        CostMatrix(Summary(emptyList(), queue.teams(), 0, emptyList()), state.tuning.cost).groupCost(job.team)
 
-    private fun barredBest(job: Job, task: Task, now: Long): Alternative? {
+    private fun barredBest(job: Job, task: Task): Alternative? {
         if (job.shape < 0 || state.book.table.clausesOf[job.shape].none { state.book.clause(it).weight == null } && !minded(job)) return null
-        return state.machines.asSequence().filter { fits(job, task, it) }.mapNotNull { m ->
+        return state.machines.asSequence().filter { it.usable && state.suits(job, task, it) && job.spec.need.fitsIn(state.room(it)) }.mapNotNull { m ->
             val breach = state.barred(job, task, m) ?: return@mapNotNull null
             val cost = localityGb(job, m) + state.book.table.penalty(job.shape, state.scene(m), state.mates(job, task))
             Alternative(m.name, cost, state.book.rule(breach.clause).name, Printer.text(state.book.clause(breach.clause)))
@@ -127,16 +121,6 @@
     /** Whether some rule of others may keep the job's tasks away. */
     private fun minded(job: Job) = state.book.table.clauses.any { c -> c.must && c.test.has { it is RuleTable.Expr.Runs && it.shapes[job.shape] } }
 
-    private fun fits(job: Job, task: Task, m: Machine): Boolean {
-        val type = state.cluster.types[m.type] ?: return false
-        return m.usable && allowed(job, task, m) && job.spec.mayUse(type) && job.spec.need.fitsIn(state.room(m))
-    }
-
-    private fun allowed(job: Job, task: Task, m: Machine): Boolean {
-        val type = state.cluster.types[m.type] ?: return false
-        return m.zone >= 0 && (job.spec.spot || !m.spot) && (state.zonesNow(job, task) and state.cluster.zonesFor(job.spec, type)) shr m.zone and 1L != 0L
-    }
-
     /** Every reason that there is, the nearest first. */
     private fun waits(task: Task, now: Long): List<String> {
         val job = task.job
@@ -149,7 +133,7 @@
         if (!team.allows(state.usage(job.team) + need)) reasons += "team ${team.name} is at its limit"
         val machines = state.machines.filter { it.phase < MachinePhase.RELEASING }
         val up = machines.filter { it.usable }
-        val suitable = up.filter { m -> allowed(job, task, m) && state.cluster.types[m.type]?.let(job.spec::mayUse) == true }
+        val suitable = up.filter { state.suits(job, task, it) }
         val (roomy, full) = suitable.partition { job.spec.need.fitsIn(state.room(it)) }
         val byRule = suitable.mapNotNull { m -> state.barred(job, task, m)?.let { state.book.rule(it.clause).name } }.groupingBy { it }.eachCount()
         val free = roomy.filter { state.barred(job, task, it) == null }
@@ -184,6 +168,5 @@
 
     private companion object {
         const val SLACK = 1e-9
-        const val LEAST_WEIGHT = 0.01
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -40,7 +40,7 @@
     private val queue = Queue(state)
 
     /** Only where rules are switched on: it costs memory, and time with each start. */
-    private val explainer = if (tuning.rules) Explainer(state) else null
+    private val explainer = if (tuning.rules) Explainer(state, queue) else null
     private val starts = Starts(state, ledger, explainer)
     private val hints = Hints(state, wallNow - startedAt)
     private val fleet = Fleet(state, queue, startedAt, listLagMs)
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -110,7 +110,7 @@
         allZones(job), types(job), job.spec.spot, false, 0, true, shape = job.shape,
     )
 
-    fun types(job: Job): Long =
+    private fun types(job: Job): Long =
         state.cluster.types.entries.fold(0L) { mask, (i, t) -> if (job.spec.mayUse(t)) mask or (1L shl i) else mask }
 
     private fun allZones(job: Job): Long =
@@ -138,10 +138,11 @@
             val soon = if (m.images.keys.any { it in images }) soon(m, now) else emptyList()
             if (soon.isEmpty() && !hasRoom(m, demands, now)) null else room(m, now, soon)
         }
-        val teams = state.cluster.teams.mapIndexed { i, t -> TeamShare(weight(t.guarantee), state.running(i)) }
-        return Summary(rooms, teams, slots(), rows(demands, now, limit), state.book.table)
+        return Summary(rooms, teams(), slots(), rows(demands, now, limit), state.book.table)
     }
 
+    fun teams(): List<TeamShare> = state.cluster.teams.mapIndexed { i, t -> TeamShare(weight(t.guarantee), state.running(i)) }
+
     private fun hasRoom(m: Machine, demands: List<Wanted>, now: Long): Boolean {
         val free = state.room(m)
         val floor = m.floorAt(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -62,19 +62,12 @@
         val machine = state.machineAt(proposal.machine) ?: return null
         if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
         if (state.heldFor(machine, now).let { it != null && it !== job && job.spec.priority <= it.spec.priority }) return null
-        if (job.spec.priority < machine.floorAt(now) || !mayRun(job, task, machine)) return null
+        if (job.spec.priority < machine.floorAt(now) || !state.suits(job, task, machine) || state.barred(job, task, machine) != null) return null
         if (!job.spec.need.fitsIn(state.room(machine))) return null
         if (!state.cluster.teams[job.team].allows(state.usage(job.team) + job.spec.need)) return null
         return state.place(task, machine, attempt, Phase.RESERVED, now)
     }
 
-    private fun mayRun(job: Job, task: Task, machine: Machine): Boolean {
-        val type = state.cluster.types[machine.type] ?: return false
-        if (machine.zone == Names.ABSENT || machine.spot && !job.spec.spot || !job.spec.mayUse(type)) return false
-        return (state.zonesNow(job, task) and state.cluster.zonesFor(job.spec, type)) shr machine.zone and 1L != 0L &&
-            state.barred(job, task, machine) == null
-    }
-
     /** Sends what became due on the machines that something happened to. */
     fun flushTouched(now: Long) {
         if (state.touched.isEmpty()) return
@@ -179,6 +172,13 @@
     }
 }
 
+/** Whether [machine] is of a type, in a zone and of a kind (spot or not) that [job] allows, given where its other tasks are now. */
+fun ClusterState.suits(job: Job, task: Task, machine: Machine): Boolean {
+    val type = cluster.types[machine.type] ?: return false
+    if (machine.zone == Names.ABSENT || machine.spot && !job.spec.spot || !job.spec.mayUse(type)) return false
+    return (zonesNow(job, task) and cluster.zonesFor(job.spec, type)) shr machine.zone and 1L != 0L
+}
+
 /** The zones, as a bit mask, that the job's other tasks leave open for [task] at this moment. */
 fun ClusterState.zonesNow(job: Job, task: Task?): Long {
     if (!job.spec.oneZone && !job.spec.spread) return -1L
--- a/src/main/kotlin/org/honeyjunction/wire/OtherSide.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/OtherSide.kt
@@ -76,8 +76,6 @@
         return RentalCall(o.text("SwarmCall"), o.text("HiveKind"), o.text("Meadow"), o.flag("BorrowedHives"), o.count("Count").toInt())
     }
 
-    fun rented(body: ByteArray): List<String> = CloudCodec.rented(body)
-
     fun machines(page: List<Listed>, isUp: (String) -> Boolean, more: Boolean): ByteArray = Json.write(
         Json.obj().put("More", more).apply {
             val all = putArray("Hives")
