--- a/src/main/kotlin/org/honeyjunction/app/Main.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Main.kt
@@ -110,6 +110,6 @@
     val status = command.setExecutionExceptionHandler { e, _, _ ->
         complain("internal error: $e", Status.FAILED)
     }.execute(*args)
-    System.out.flush()
-    exitProcess(status)
+    // A full disk or a reader that went away: what was asked for has not arrived, whatever was done.
+    exitProcess(if (System.out.checkError() && status == Status.OK) complain("the output can't be written", Status.FAILED) else status)
 }
