A transaction has one version for each key; parts of large values for all who keep them

Need: writes that wait are joined into one transaction, whose conditions were kept by key, so that a later version of a key stood for an earlier one: a write decided under an older record could be applied. Change: such a write goes into a transaction of its own.

--- a/src/main/kotlin/org/honeyjunction/app/RulesKeeper.kt
+++ b/src/main/kotlin/org/honeyjunction/app/RulesKeeper.kt
@@ -1,7 +1,6 @@
 package org.honeyjunction.app
 
 import kotlinx.coroutines.delay
-import okio.Buffer
 import org.honeyjunction.core.rules.RuleBook
 import org.honeyjunction.core.rules.RuleSet
 import org.honeyjunction.io.StateClient
@@ -43,10 +42,7 @@
 
     private val log = LoggerFactory.getLogger(RulesKeeper::class.java)
     private val state: StateClient get() = node.state
-    private val partBytes = node.settings.stateLimits.valueBytes - PART_OVERHEAD
-
-    /** Parts are conditions of the change that needs them, beside the head's own. */
-    private val mostParts = minOf(node.settings.stateLimits.transactionWrites * 4 - 1, MAX_PARTS)
+    private val stored = Parts(node.state, node.settings.stateLimits)
 
     var current = KeptRules(0, RulesDocument("", null), RuleSet.NONE)
         private set
@@ -98,13 +94,9 @@
     private suspend fun read(entry: Entry): KeptRules {
         val head = head(entry) ?: return KeptRules(0, RulesDocument("", null), RuleSet.NONE)
         if (head.version == current.version) return current
-        val bytes = Buffer()
-        for (i in 0 until head.parts) {
-            val part = state.get(Keys.rulePart(head.hash, i)).value ?: throw StateUnavailableException("part $i of rules version ${head.version} is not there")
-            bytes.writeUtf8(part.textValue().orEmpty())
-        }
+        val bytes = stored.read(head.parts, "rules version ${head.version}") { Keys.rulePart(head.hash, it) }
         val document = try {
-            RulesDocument.parse(Json.read(bytes.readByteArray()))
+            RulesDocument.parse(Json.read(bytes))
         } catch (e: MalformedException) {
             throw StateUnavailableException("rules version ${head.version}: ${e.message}")
         }
@@ -127,13 +119,9 @@
         if (expected != null && expected != version) return Applied.Overtaken(version)
         val checked = document.check(version + 1)
         if (checked.set == null) return Applied.Wrong(checked.errors)
-        val parts = split(document)
-        if (parts.size > mostParts) return Applied.Wrong(listOf("rules: ${document.json.size} bytes are more than the state service can change at once (${mostParts * partBytes / 1024} KiB)"))
+        val parts = stored.split(String(document.json)) ?: return Applied.Wrong(listOf("rules: ${document.json.size} bytes are more than the state service can change at once (${stored.mostBytes / 1024} KiB)"))
         val hash = document.hash.hex()
-        val conditions = arrayListOf(Condition(Keys.RULES, entry.version))
-        for ((i, part) in parts.withIndex()) {
-            conditions += Condition(Keys.rulePart(hash, i), keep(Keys.rulePart(hash, i), part) ?: return Applied.Unknown)
-        }
+        val conditions = listOf(Condition(Keys.RULES, entry.version)) + (stored.keep(parts) { Keys.rulePart(hash, it) } ?: return Applied.Unknown)
         val head = Json.obj().put("version", version + 1).put("hash", hash).put("parts", parts.size)
         return when (state.commit(conditions, listOf(Write(Keys.RULES, head)))) {
             is WriteOutcome.Applied -> {
@@ -150,39 +138,6 @@
         }
     }
 
-    /** The version of a part that stands as it should; null if that can't be told. */
-    private suspend fun keep(key: String, part: String): Long? {
-        val there = state.get(key)
-        if (there.value?.textValue() == part) return there.version
-        return when (val written = state.commit(listOf(Condition(key, there.version)), listOf(Write(key, Json.text(part))))) {
-            is WriteOutcome.Applied -> written.revision
-            WriteOutcome.Refused -> state.get(key).takeIf { it.value?.textValue() == part }?.version
-            WriteOutcome.Unknown -> null
-        }
-    }
-
-    /** In pieces whose JSON keeps within a value: a piece of text can grow to six times its length by escapes. */
-    private fun split(document: RulesDocument): List<String> {
-        val text = String(document.json)
-        val parts = ArrayList<String>()
-        var from = 0
-        while (from < text.length) {
-            var to = from
-            var size = 0
-            while (to < text.length) {
-                val width = Json.write(Json.text(text.substring(to, minOf(text.length, to + text.codePointWidth(to))))).size - 2
-                if (size + width > partBytes) break
-                size += width
-                to += text.codePointWidth(to)
-            }
-            parts += text.substring(from, to)
-            from = to
-        }
-        return parts
-    }
-
-    private fun String.codePointWidth(at: Int) = Character.charCount(codePointAt(at))
-
     /**
      * Drops parts that no head needs. Somebody may be writing parts at this moment: their head's change has those as its
      * conditions, so it fails instead of naming what is gone.
@@ -200,7 +155,5 @@
     private companion object {
         const val WATCH_MS = 20_000L
         const val RETRY_MS = 300L
-        const val PART_OVERHEAD = 64
-        const val MAX_PARTS = 64
     }
 }
--- a/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -103,7 +103,7 @@
                     budget.asked(channel)
                     val response = answer(request)
                     val close = message.closes || response.close || !budget.answered(channel, mayClose(request))
-                    write(channel, Response(response.status, response.body, response.retryAfterS, close))
+                    write(channel, Response(response.status, response.body, response.retryAfterS, close, response.headers))
                     if (close) return
                 }
                 is HttpParser.Failed -> {
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -132,15 +132,19 @@
             // What came meanwhile may go first, or along.
             val batch = arrayListOf(next()!!.removeFirst())
             val keys = batch[0].writes.mapTo(HashSet()) { it.key }
+            // One transaction has one version for each key: what goes by another one must fail on its own.
+            val versions = batch[0].conditions.associateTo(HashMap()) { it.key to it.version }
             while (true) {
                 val queue = next() ?: break
                 val next = queue.first()
                 val fits = batch.sumOf { it.writes.size } + next.writes.size <= limits.transactionWrites &&
                     batch.sumOf { it.bytes } + next.bytes <= MAX_BYTES &&
-                    batch.size < MAX_BATCH && next.writes.none { it.key in keys }
+                    batch.size < MAX_BATCH && next.writes.none { it.key in keys } &&
+                    next.conditions.none { c -> versions[c.key].let { it != null && it != c.version } }
                 if (!fits) break
                 batch += queue.removeFirst()
                 next.writes.mapTo(keys) { it.key }
+                next.conditions.forEach { versions[it.key] = it.version }
             }
             // Several transactions may be on their way at once; a key in two of them is guarded by its conditions.
             val more = batch.sumOf { it.writes.size } - batch[0].writes.size
--- a/src/main/kotlin/org/honeyjunction/wire/Http.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/Http.kt
@@ -1,7 +1,7 @@
 package org.honeyjunction.wire
 
 /** An answer of ours, or one that we got. */
-class Response(val status: Int, val body: ByteArray = NO_BODY, val retryAfterS: Int? = null, val close: Boolean = false) {
+class Response(val status: Int, val body: ByteArray = NO_BODY, val retryAfterS: Int? = null, val close: Boolean = false, val headers: Map<String, String> = emptyMap()) {
     companion object {
         val NO_BODY = ByteArray(0)
     }
@@ -14,15 +14,16 @@
 object HttpWriter {
     private val reasons = mapOf(
         200 to "OK", 201 to "Created", 400 to "Bad Request", 404 to "Not Found", 405 to "Method Not Allowed",
-        408 to "Request Timeout", 411 to "Length Required", 413 to "Content Too Large",
+        408 to "Request Timeout", 409 to "Conflict", 411 to "Length Required", 413 to "Content Too Large",
         421 to "Misdirected Request", 422 to "Unprocessable Content", 429 to "Too Many Requests",
         431 to "Request Header Fields Too Large", 500 to "Internal Server Error", 503 to "Service Unavailable",
     )
 
     fun response(r: Response): ByteArray {
         val head = StringBuilder("HTTP/1.1 ").append(r.status).append(' ').append(reasons[r.status] ?: "Status")
-            .append("\r\nContent-Type: application/json\r\nContent-Length: ").append(r.body.size).append("\r\n")
+            .append("\r\nContent-Type: ").append(r.headers["Content-Type"] ?: "application/json").append("\r\nContent-Length: ").append(r.body.size).append("\r\n")
         r.retryAfterS?.let { head.append("Retry-After: ").append(it).append("\r\n") }
+        r.headers.filterKeys { it != "Content-Type" }.forEach { (name, value) -> head.append(name).append(": ").append(value).append("\r\n") }
         if (r.close) head.append("Connection: close\r\n")
         return head.append("\r\n").toString().toByteArray(Charsets.ISO_8859_1) + r.body
     }
