--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -61,6 +61,11 @@
         guard("the census") { tellCensus() }
     }
 
+    /** More of the holder's work, which ends with the term. */
+    fun alongside(what: String, work: suspend () -> Unit) {
+        guard(what, work)
+    }
+
     /** Does [work] beside the rest; when it ends by an exception that nobody expected, the term is given up. */
     private fun guard(what: String, work: suspend () -> Unit) = scope.launch {
         try {
--- a/src/main/kotlin/org/honeyjunction/app/Keys.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Keys.kt
@@ -19,6 +19,14 @@
     const val RULES = "rules"
     const val RULE_PARTS = "r/"
 
+    /** Heads of registered jobs, by the hash of namespace and name; and the parts of their documents. */
+    const val NOMAD_HEADS = "n/h/"
+    const val NOMAD_PARTS = "n/p/"
+
+    fun nomadHead(hash: String) = "$NOMAD_HEADS$hash"
+
+    fun nomadPart(born: String, digest: String, number: Int) = "$NOMAD_PARTS$born/$digest/${"%03d".format(number)}"
+
     fun rulePart(hash: String, number: Int) = "$RULE_PARTS$hash/${"%03d".format(number)}"
 
     fun job(id: String) = "$JOBS$id"
--- a/src/main/kotlin/org/honeyjunction/app/Main.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Main.kt
@@ -1,8 +1,11 @@
 package org.honeyjunction.app
 
 import org.honeyjunction.app.local.LocalCommand
+import org.honeyjunction.app.nomad.JobCommand
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.io.Loop
+import org.honeyjunction.nomad.NomadOptions
+import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
 import picocli.AutoComplete.GenerateCompletion
 import picocli.CommandLine
@@ -19,7 +22,7 @@
     mixinStandardHelpOptions = true,
     version = [VERSION],
     description = ["A cluster scheduler that places tasks by fairness and data locality.", "--config FILE alone starts a controller, as serve does."],
-    subcommands = [Serve::class, LocalCommand::class, RulesCommand::class, ExplainCommand::class, GenerateCompletion::class],
+    subcommands = [Serve::class, LocalCommand::class, RulesCommand::class, JobCommand::class, ExplainCommand::class, GenerateCompletion::class],
     synopsisSubcommandLabel = "COMMAND",
 )
 class Main : Callable<Int> {
@@ -63,9 +66,9 @@
         }
         if (rehearse) return Rehearsal.run()
         val file = config ?: return complain("--config FILE is needed", Status.USAGE)
-        val (settings, tuning) = try {
+        val (settings, tuning, nomad) = try {
             val tuning = operator?.let { Files.named(it) { OperatorSettings.read(it) } } ?: Tuning()
-            Files.named(file) { Settings.read(file) } to tuning
+            Triple(Files.named(file) { Settings.read(file) }, tuning, operator?.let { OperatorSettings.nomad(Json.readObject(Files.bytes(it))) })
         } catch (e: MalformedException) {
             return complain(e.message!!, Status.BAD_FILE)
         } catch (e: IOException) {
@@ -75,15 +78,15 @@
             println("$file is good")
             return Status.OK
         }
-        return serve(settings, tuning)
+        return serve(settings, tuning, nomad)
     }
 
-    private fun serve(settings: Settings, tuning: Tuning): Int {
+    private fun serve(settings: Settings, tuning: Tuning, nomad: NomadOptions?): Int {
         val loop = Loop()
         try {
-            Node(settings, tuning, loop).start()
+            Node(settings, tuning, loop, nomad = nomad).start()
         } catch (e: IOException) {
-            return complain("can't listen on ${settings.listen} or ${settings.peerListen}: ${e.message}", Status.CANT_LISTEN)
+            return complain("can't listen on ${listOfNotNull(settings.listen, settings.peerListen, nomad?.takeIf { it.on }?.listen).joinToString(" or ")}: ${e.message}", Status.CANT_LISTEN)
         }
         // Runs until the process is killed.
         CountDownLatch(1).await()
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -2,6 +2,10 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.honeyjunction.app.nomad.NativeStatus
+import org.honeyjunction.app.nomad.NomadApi
+import org.honeyjunction.app.nomad.NomadHolder
+import org.honeyjunction.app.nomad.NomadRegistry
 import org.honeyjunction.core.control.Holder
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
@@ -21,6 +25,7 @@
 import org.honeyjunction.io.StateClient
 import org.honeyjunction.io.socketAddress
 import org.honeyjunction.io.supervise
+import org.honeyjunction.nomad.NomadOptions
 import org.honeyjunction.wire.CloudCodec
 import org.honeyjunction.wire.Entry
 import org.honeyjunction.wire.Json
@@ -36,7 +41,7 @@
 import java.io.IOException
 
 /** One controller: accepts jobs, places its own, and holds the term when it falls to it. */
-class Node(val settings: Settings, val tuning: Tuning, private val loop: Loop, val clock: Clock = Clock) {
+class Node(val settings: Settings, val tuning: Tuning, private val loop: Loop, val clock: Clock = Clock, nomad: NomadOptions? = null) {
     val log = LoggerFactory.getLogger(Node::class.java)
     val state = StateClient(loop, settings.state, settings.stateLimits, clock)
     private val cloud = CloudClient(loop, settings.cloud, settings.cloudRps, clock)
@@ -45,6 +50,12 @@
     val users = UserApi(this)
     val rules = if (tuning.rules) RulesKeeper(this, ::useRules) else null
     private val rulesApi = rules?.let { RulesApi(this, it) }
+    private val status = NativeStatus(this)
+    private val registry = nomad?.takeIf { it.on }?.let { NomadRegistry(this, it) }
+    private val nomadServer = registry?.let { r ->
+        val api = NomadApi(this, r, status)
+        HttpServer(loop, (settings.maxSockets * NOMAD_SHARE).toInt(), mayClose = { false }, api::handle)
+    }
     private val round = Round(tuning.cost)
     private var driver: HolderDriver? = null
     private var freeSince = Long.MIN_VALUE
@@ -67,6 +78,9 @@
 
     val isHolder: Boolean get() = driver != null
 
+    /** Who holds the term, as far as this node knows. */
+    val holderName: String? get() = if (isHolder) settings.node else election.holder
+
     /** What waits beside free machines for longer than it should, as the holder of the term counts it. */
     val stalled: List<Stalled> get() = driver?.takeIf { it.certain }?.holder?.stalled(clock.steady()).orEmpty()
 
@@ -90,6 +104,10 @@
         loop.scope.supervise("rounds", clock) { placeOwn() }
         loop.scope.supervise("shares of the writes", clock) { shareWrites() }
         rules?.let { loop.scope.supervise("rules", clock) { it.follow() } }
+        if (registry != null && nomadServer != null) {
+            nomadServer.listen(socketAddress(registry.options.listen))
+            loop.scope.supervise("registered jobs", clock) { registry.follow() }
+        }
         log.info("{} listens on {}", settings.node, settings.listen)
     }
 
@@ -101,6 +119,7 @@
 
     /** What users and operators ask, here or through another controller. */
     private suspend fun asked(r: Request, forwarded: Boolean): Response = when {
+        forwarded && status.handles(r.path) -> status.answer(r)
         rulesApi != null && rulesApi.handles(r.path) -> rulesApi.handle(r, forwarded)
         r.path == RulesApi.RULES || r.path.endsWith(RulesApi.EXPLAIN) -> RulesApi.off()
         else -> users.handle(r, forwarded)
@@ -197,6 +216,7 @@
         val (recovered, jobsFrom) = try {
             // Before anything is started it must be known which rules are in force.
             rules?.refresh()
+            registry?.readAll()
             recover()
         } catch (e: IOException) {
             log.warn("term {}: can't read what was stored: {}", term.number, e.message)
@@ -217,6 +237,10 @@
         shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
         state.share(shares.own(state.waiting, clock.steady()))
         heldSince = clock.steady()
+        if (registry != null) {
+            holder.useJobRules(NomadHolder.rules(registry))
+            current.alongside("registered jobs") { NomadHolder(this, registry, current).run() }
+        }
         current.start(jobsFrom)
         log.info(
             "holding term {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
@@ -399,6 +423,7 @@
         const val MAX_DOUBLINGS = 4
         const val MOST_STAND_BACK_MS = 30_000L
         const val SOCKET_SHARE = 0.7
+        const val NOMAD_SHARE = 0.1
     }
 }
 
--- a/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/OperatorSettings.kt
@@ -3,8 +3,10 @@
 import com.networknt.schema.JsonSchemaFactory
 import com.networknt.schema.SpecVersion
 import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.placement.CostSettings
+import org.honeyjunction.nomad.NomadOptions
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.given
@@ -44,6 +46,16 @@
         )
     }
 
+    /** What is switched on of the interface for job files; null where the file says nothing of it. */
+    fun nomad(o: ObjectNode): NomadOptions? {
+        val n = o.given("nomad") ?: return null
+        val d = NomadOptions()
+        return NomadOptions(
+            n.given("on")?.booleanValue() ?: d.on, n.given("listen")?.textValue() ?: d.listen, n.number("mhz_per_core", d.mhzPerCore), n.given("team")?.textValue(),
+            n.given("production")?.mapNotNull { it.textValue() } ?: d.production, n.ms("max_waiting", d.maxWaiting.toLong()).toInt(),
+        )
+    }
+
     private fun JsonNode.ms(name: String, otherwise: Long) = given(name)?.longValue() ?: otherwise
 
     private fun JsonNode?.number(name: String, otherwise: Double) = this?.given(name)?.doubleValue() ?: otherwise
--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -9,10 +9,11 @@
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Loop
+import org.honeyjunction.nomad.NomadOptions
 import java.io.IOException
 
 /** Real controllers, each on a thread of its own as in a process of its own; they can be killed, hung and started again. */
-class Controllers(private val settings: List<Settings>, private val tuning: Tuning, private val clock: Clock = Clock) {
+class Controllers(private val settings: List<Settings>, private val tuning: Tuning, private val clock: Clock = Clock, private val nomad: List<NomadOptions?> = emptyList()) {
     private class Running(val loop: Loop, val node: Node)
 
     private val running = arrayOfNulls<Running>(settings.size)
@@ -21,7 +22,7 @@
     fun start(number: Int) {
         repeat(BIND_TRIES) {
             val loop = Loop()
-            val node = Node(settings[number], tuning, loop, clock)
+            val node = Node(settings[number], tuning, loop, clock, nomad.getOrNull(number))
             running[number] = Running(loop, node)
             try {
                 return node.start()
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -8,6 +8,7 @@
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.rules.Printer
 import org.honeyjunction.io.Clock
+import org.honeyjunction.nomad.NomadOptions
 import org.honeyjunction.rules.RulesDocument
 import org.honeyjunction.standin.Fault
 import org.honeyjunction.standin.Loopback
@@ -30,11 +31,15 @@
 /** The whole service on loopback: real controllers, stand-ins of what is round them, and users. */
 class LocalCluster(
     settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit, clock: Clock = Clock,
+    nomad: NomadOptions? = null,
 ) {
-    private val reserved = List(controllers * 2) { reserve() }
+    private val reserved = List(controllers * 3) { reserve() }
     private val ports = reserved.map { "127.0.0.1:${(it.localAddress as InetSocketAddress).port}" }
     val nodes: List<String> = ports.take(controllers)
-    private val peers = ports.drop(controllers)
+    private val peers = ports.drop(controllers).take(controllers)
+
+    /** Where job files are taken; empty where that is not switched on. */
+    val nomad: List<String> = if (nomad?.on == true) ports.drop(controllers * 2) else emptyList()
     private val work = planned.associate { it.work.spec.id to it.work }
     val loopback: Loopback
     val controllers: Controllers
@@ -46,7 +51,7 @@
     init {
         val sample = settings.forNode(0, nodes, peers, 1, 1)
         loopback = Loopback(settings.loopback(sample), nodes.mapIndexed { i, a -> settings.name(i) to a }, seed) { work[it] }
-        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.statePorts[it], loopback.cloudPort) }, tuning, clock)
+        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.statePorts[it], loopback.cloudPort) }, tuning, clock, this.nomad.map { nomad?.copy(listen = it) })
         users = Users(loopback.loop, nodes, loopback.watch, loopback::now)
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
@@ -10,11 +10,14 @@
 import org.honeyjunction.core.control.Obstacle
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.nomad.JobDocument
+import org.honeyjunction.nomad.NomadOptions
 import org.honeyjunction.rules.RulesDocument
 import org.honeyjunction.standin.Fault
 import org.honeyjunction.standin.JobFile
 import org.honeyjunction.standin.PlannedJob
 import org.honeyjunction.standin.Users
+import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.MalformedException
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -54,6 +57,9 @@
     @Option(names = ["--jobs"], paramLabel = "FILE", description = ["the jobs (default: the shipped deploy/local/jobs.json)"])
     var jobs: Path? = null
 
+    @Option(names = ["--job-file"], paramLabel = "FILE", description = ["a job file, HCL or JSON, to be registered; may be repeated, and then there are no other jobs without --jobs"])
+    var jobFiles: List<Path> = emptyList()
+
     @Option(names = ["--rules"], paramLabel = "FILE", description = ["operators' rules (default: the shipped deploy/local/example.rules where no --jobs are given, else none)"])
     var rules: Path? = null
 
@@ -90,10 +96,12 @@
         }
         return try {
             val tuning = operator?.let { Files.named(it) { OperatorSettings.read(it) } } ?: LOCAL_TUNING
+            val nomad = operator?.let { OperatorSettings.nomad(Json.readObject(Files.bytes(it))) } ?: NomadOptions(on = jobFiles.isNotEmpty())
+            val registered = jobFiles.map { RegisteredJobs.read(it) }
             val cluster = Files.json(settings, "local/settings.json") { LocalSettings(it, zones, machines) }
             if (virtual) return VirtualDay(cluster.setup(), machines, seed, withinS).play(jobs?.let { Files.json(it, "", JobFile::parse) }, troubles)
-            val planned = Files.json(jobs, "local/jobs.json", JobFile::parse)
-            run(cluster, tuning, planned, troubles, document())
+            val planned = if (jobs == null && jobFiles.isNotEmpty()) emptyList() else Files.json(jobs, "local/jobs.json", JobFile::parse)
+            run(cluster, tuning, planned, troubles, document(), nomad, registered)
         } catch (e: MalformedException) {
             complain(e.message!!, Status.BAD_FILE)
         } catch (e: IOException) {
@@ -104,7 +112,7 @@
     /** The rules of the command line, or the shipped ones beside the shipped jobs; they must be good before anything is started. */
     private fun document(): RulesDocument? {
         val file = rules
-        if (file == null && jobs != null) return null
+        if (file == null && (jobs != null || jobFiles.isNotEmpty())) return null
         val text = if (file == null) checkNotNull(javaClass.classLoader.getResource("local/example.rules")).readText() else Files.text(file)
         val labels = if (topology == null && file != null) null else Files.json(topology, "local/topology.json") { it }
         val document = RulesDocument(text, labels)
@@ -113,8 +121,8 @@
         return document
     }
 
-    private fun run(settings: LocalSettings, tuning: Tuning, planned: List<PlannedJob>, troubles: List<Fault>, document: RulesDocument?): Int {
-        val cluster = LocalCluster(settings, controllers, tuning, seed, planned, ::println)
+    private fun run(settings: LocalSettings, tuning: Tuning, planned: List<PlannedJob>, troubles: List<Fault>, document: RulesDocument?, nomad: NomadOptions, documents: List<JobDocument>): Int {
+        val cluster = LocalCluster(settings, controllers, tuning, seed, planned, ::println, nomad = nomad)
         try {
             println("controllers: ${cluster.nodes.joinToString { "http://$it" }}")
             cluster.start(troubles)
@@ -122,8 +130,12 @@
                 cluster.apply(document).forEach { cluster.say(it) }
                 cluster.say("the rules are applied: ${document.check(1).set!!.rules.size}")
             }
+            if (cluster.nomad.isNotEmpty()) println("job files: ${cluster.nomad.joinToString { "http://$it" }}")
+            val registered = RegisteredJobs(cluster, documents, cluster::say)
+            registered.register()
             runBlocking { cluster.loopback.loop.scope.async { follow(cluster, planned, troubles) }.await() }
-            val status = Outcome.print(cluster, explain)
+            val ended = registered.await(withinS, stop = !serve)
+            val status = maxOf(Outcome.print(cluster, explain), if (ended) Status.OK else Status.FAILED)
             while (serve) Thread.sleep(1_000)
             return status
         } finally {
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -9,6 +9,7 @@
 import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
+import org.honeyjunction.core.rules.Rule
 import org.honeyjunction.core.rules.RuleSet
 
 class HelloAnswer(val token: Long, val commands: List<Command>)
@@ -56,6 +57,8 @@
     private val makingRoom = MakingRoom(state, queue, fleet)
     private val consolidation = Consolidation(state, fleet)
     private var outbid = false
+    private var operators = rules
+    private var jobRules = emptyList<Rule>()
 
     init {
         recovered.jobs.forEach { state.addJob(it, startedAt, wallNow) }
@@ -101,9 +104,21 @@
 
     /** The rules that starts go by from now on; an older version than the present one changes nothing. */
     fun useRules(rules: RuleSet) {
-        if (rules.version > state.book.set.version) state.use(rules)
+        if (rules.version > operators.version) {
+            operators = rules
+            state.use(joined())
+        }
+    }
+
+    /** Rules that belong to jobs rather than to the operators; those that were there before and are not in [rules] are dropped. */
+    fun useJobRules(rules: List<Rule>) {
+        if (rules == jobRules) return
+        jobRules = rules
+        state.use(joined())
     }
 
+    private fun joined() = RuleSet(operators.version, operators.rules + jobRules, operators.topology)
+
     fun leaseUntil(until: Long) {
         state.leaseValidUntil = until
     }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -6,6 +6,7 @@
 import org.honeyjunction.core.model.Team
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.given
 import java.util.Random
 
@@ -57,10 +58,16 @@
         watch.check(workers, now)
     }
 
+    /** What a job's user has uploaded; of jobs that came as files the service itself knows most, and their tasks run as estimated. */
+    private fun described(id: String): Work? = work(id) ?: store["j/$id"]?.let { kept ->
+        val spec = JobCodec.stored(kept.value, kept.version).spec
+        Work(spec, spec.estimateS, fails = spec.image.endsWith(FAILING))
+    }
+
     private fun boot(m: Cloud.Machine) {
         val host = WorkerHost(loop, nodes, settings.reportMs, Random(random.nextLong()), ::now)
         m.address = host.address
-        host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), work, saved)
+        host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), ::described, saved)
         hosts[m.name] = host
         host.start()
     }
@@ -121,6 +128,9 @@
 
         /** Two records of the project's own, read only to tell who holds the term. */
         const val LEAD = "lead"
+
+        /** Tasks whose image has such a name fail wherever they start. */
+        const val FAILING = "/fails"
         const val TERM = "term"
     }
 }
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -20,9 +20,12 @@
         "wire,          'wire core',                                java kotlin okio com.fasterxml.jackson",
         "io,            'io wire',                                  java kotlin kotlinx.coroutines okio com.fasterxml.jackson org.slf4j",
         "rules,         'rules core.rules core.model wire',         java kotlin okio com.fasterxml.jackson com.networknt org.antlr",
+        "nomad.hcl,     'nomad wire',                               java.util java.lang kotlin org.antlr",
+        "nomad.registry,'nomad core.model core.rules wire',         java.util java.lang java.math kotlin okio com.fasterxml.jackson",
+        "nomad,         'nomad core.model core.rules wire',         java.util java.lang java.math java.time kotlin okio com.fasterxml.jackson com.networknt com.google.re2j com.cronutils org.antlr",
         "standin,       'standin core wire io',                     java kotlin kotlinx.coroutines com.fasterxml.jackson",
         "emulator,      'emulator core standin',                    java kotlin",
-        "app,           'app core wire io rules standin emulator',          java kotlin kotlinx.coroutines okio com.fasterxml.jackson com.networknt org.slf4j picocli",
+        "app,           'app core wire io rules nomad standin emulator',          java kotlin kotlinx.coroutines okio com.fasterxml.jackson com.networknt org.slf4j picocli",
     )
     fun `imports`(part: String, own: String, others: String) {
         val of = classes.filter { it.packageName.startsWith("$ROOT.$part") }
