Registered jobs: crossing answers, rules once a change, old children forgotten, times

Cause: of two answers that cross, the older could bring back a head that was deleted; rules were joined anew for every job in every pass; each piece of a new job was looked for by two requests; children of periodic jobs were kept for ever. Change: changes up to the known revision are passed over; rules are joined when a head has changed; what has not begun to roll is known to be absent; children are forgotten an hour after their end.

--- a/src/main/kotlin/org/honeyjunction/app/nomad/NomadHolder.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NomadHolder.kt
@@ -40,6 +40,7 @@
 
     private val log = LoggerFactory.getLogger(NomadHolder::class.java)
     private val records = HashMap<String, Record>()
+    private var rulesAt = -1L
     private val watched = HashMap<String, Watched>()
     private val state get() = node.state
     private val fence get() = Condition(Keys.LEAD, driver.term.leadVersion)
@@ -52,7 +53,7 @@
             for (kept in open) {
                 if (!driver.certain) return
                 try {
-                    useRules()
+                    if (rulesAt != registry.changedAt) useRules()
                     if (!kept.head.settled) step(kept)
                     if (kept.head.template) launch(kept)
                 } catch (e: IOException) {
@@ -62,17 +63,37 @@
                 }
             }
             watched.keys.retainAll(open.mapTo(HashSet()) { it.head.born })
+            tidy()
             delay(STEP_MS)
         }
     }
 
     /** The rules of all jobs that may have tasks; they must hold before any of those is submitted. */
-    private suspend fun useRules() = driver.holder.useJobRules(rules(registry))
+    private suspend fun useRules() {
+        val at = registry.changedAt
+        driver.holder.useJobRules(rules(registry))
+        rulesAt = at
+    }
+
+    /** Periods and dispatches come without end: those that have long been over are forgotten. */
+    private suspend fun tidy() {
+        val old = registry.all.filter { it.head.parent != null && it.head.settled && node.clock.wall() - it.head.latest.atMs > KEEP_CHILD_MS }
+        try {
+            old.take(MOST_FORGOTTEN).forEach { delete(it) }
+        } catch (e: IOException) {
+            log.debug("forgetting old jobs: {}", e.message)
+        }
+    }
 
     private suspend fun step(kept: KeptHead) {
         val head = kept.head
         val job = registry.meaning(head, head.latest) ?: return
         val pieces = head.versions.filter { !it.settled }.flatMap { v -> head.pieces(v).flatMap { listOfNotNull(it.first, it.second) } }.distinctBy { it.id }
+        // Nothing is submitted before the version rolls: a thousand new jobs need not be looked for one by one.
+        if (head.latest.state == VersionState.REGISTERED) {
+            val own = head.latest.copy(groups = head.latest.groups.filter { it.basis == head.latest.number })
+            head.pieces(own).forEach { records.putIfAbsent(it.first.id, Record.ABSENT) }
+        }
         pieces.forEach { learn(it) }
         val watch = watched.getOrPut(head.born, ::Watched).apply { forget(pieces.mapTo(HashSet()) { it.id }) }
         val actions = Rollout(head, ::fact, { pace(job, it) }, watch, node.clock.steady()).step()
@@ -200,6 +221,8 @@
         private const val STEP_MS = 200L
         private const val MOST_SUBMITS = 32
         private const val MOST_TIMES = 1_500
+        private const val KEEP_CHILD_MS = 3_600_000L
+        private const val MOST_FORGOTTEN = 8
         private const val MAKE_UP_MS = 86_400_000L
 
         /** In the order of the heads, so that the same jobs give the same rules. */
--- a/src/main/kotlin/org/honeyjunction/app/nomad/NomadRegistry.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NomadRegistry.kt
@@ -103,9 +103,8 @@
     }
 
     private fun take(at: Long, changes: List<KeyChange>) {
-        // Of two answers that cross, the one that knows less changes nothing.
-        for (c in changes.sortedBy { it.version }) {
-            if (c.version <= (heads[c.key]?.version ?: 0)) continue
+        // Of two answers that cross, the one that knows less changes nothing: what it tells may have been deleted since.
+        for (c in changes.filter { it.version > revision }.sortedBy { it.version }) {
             val value = c.value
             if (value == null) heads -= c.key else put(c.key, value, c.version)
             note(c.version)
