Leases end by their own session: a state machine for session, token and lease

A worker's next session was first heard in the answer to a command, tasks were started in it, and the lease of the session before, counted from the last answered report, was taken as evidence that they were gone. A session first heard that way after an end had, in turn, no lease at all.

Change: core.evidence.SessionLease holds session, sequence, acknowledged token and lease, with named states and one function. The count runs from the later of the last answer to a report of the present session and the first word of it.

--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobSpec
@@ -114,7 +115,7 @@
     }
 
     fun addMachine(name: String, now: Long): Machine =
-        machine(name) ?: Machine(machineIndex.index(name), name).also {
+        machine(name) ?: Machine(machineIndex.index(name), name, SessionLease(cluster.leaseMs, termToken)).also {
             it.token = termToken
             it.knownSince = now
             machineSlots += it
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -8,6 +8,7 @@
 import org.honeyjunction.core.capacity.Planner
 import org.honeyjunction.core.capacity.RentRules
 import org.honeyjunction.core.capacity.Wanted
+import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
@@ -50,17 +51,11 @@
         release(now)
     }
 
-    /** Time is evidence only at a worker that knows this term: nobody else can have renewed its lease since. */
+    /** The end of a lease is evidence; [SessionLease] says when it is. */
     private fun expire(m: Machine, now: Long) {
-        if (m.ackedToken < state.termToken || m.phase >= MachinePhase.LOST && m.phase != MachinePhase.RELEASING) return
-        if (now <= m.lastAnsweredAt + state.cluster.leaseMs * DRIFT + MARGIN_MS) return
-        if (m.lastAnsweredAt <= m.expiredAt) return
-        m.expiredAt = now
+        if (m.lease.on(SessionLease.Event.Watched(now)) != SessionLease.Finding.OVER) return
         val lost = m.placements.values.mapTo(HashSet()) { it.task.job }
         m.placements.values.toList().forEach { state.remove(it, now) }
-        // What the ended session still has to say is history.
-        m.session++
-        m.sequence = -1
         if (m.phase == MachinePhase.RELEASING) return
         m.enter(MachinePhase.LOST)
         m.lostJobs = lost
@@ -212,20 +207,17 @@
         rental.retryAt = now + RETRY_MS
     }
 
-    companion object {
-        /** A worker's clock may be slower than this node's by so much; and what a lease's end is waited for beyond that. */
-        const val DRIFT = 1.002
-        const val MARGIN_MS = 300L
-        private val UNSETTLED = setOf(MachinePhase.BOOTING, MachinePhase.UNHEARD, MachinePhase.QUIET, MachinePhase.LOST)
-        private const val DEFAULT_BOOT_S = 60.0
-        private const val BOOT_PATIENCE = 3.0
-        private const val BOOT_EXPECTED = 1.8
-        private const val MAX_RELEASE = 100
-        private const val MAX_RENT = 50
-        private const val RETRY_MS = 1_000L
-        private const val HOLD_PERIODS = 3
+    private companion object {
+        val UNSETTLED = setOf(MachinePhase.BOOTING, MachinePhase.UNHEARD, MachinePhase.QUIET, MachinePhase.LOST)
+        const val DEFAULT_BOOT_S = 60.0
+        const val BOOT_PATIENCE = 3.0
+        const val BOOT_EXPECTED = 1.8
+        const val MAX_RELEASE = 100
+        const val MAX_RENT = 50
+        const val RETRY_MS = 1_000L
+        const val HOLD_PERIODS = 3
 
         /** A new holder waits for this part of the idle time before it returns what was idle before its term. */
-        private const val SETTLED = 3
+        const val SETTLED = 3
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -33,7 +33,7 @@
     }
 
     private fun hint(m: Machine, now: Long) = MachineHint(
-        m.name, m.address, state.cluster.typeNames.name(m.type), state.cluster.zones.name(m.zone), m.spot, m.session,
+        m.name, m.address, state.cluster.typeNames.name(m.type), state.cluster.zones.name(m.zone), m.spot, m.lease.session,
         m.images.entries.toList().takeLast(MAX_IMAGES).associate { (image, gb) -> state.cluster.images.name(image) to gb },
         // Short pauses between tasks are not worth a write.
         m.idleSince.takeIf { it != Long.MIN_VALUE && now - it > state.tuning.idleMs / WORTH_TELLING }?.let { it + wallOffset },
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
@@ -76,8 +77,7 @@
         val machine = state.addMachine(hint.name, now)
         state.describe(machine, hint.address, hint.type, hint.zone, hint.spot)
         machine.enter(MachinePhase.UNHEARD)
-        machine.session = hint.session
-        machine.sequence = -1
+        machine.lease = SessionLease(state.cluster.leaseMs, state.termToken, hint.session)
         // Paid for and unused across any number of terms: the time goes on, unless it is found to have tasks.
         hint.idleSinceWall?.let { machine.idleSince = now - (wallNow - it).coerceAtLeast(0) }
         hint.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
@@ -128,7 +128,7 @@
         if (outdone(report.token)) return null
         reports.absorb(report, now)
         val machine = state.addMachine(report.machine, now)
-        machine.lastAnsweredAt = now
+        machine.lease.on(SessionLease.Event.Answered(report.session, now))
         settle(now)
         val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }
         return HelloAnswer(machine.token, forget.map { Command.Forget(it.task, it.attempt) })
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.evidence.SessionLease
+import org.honeyjunction.core.evidence.SessionLease.Finding
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
@@ -15,17 +17,11 @@
         // Held back until after the machine's release was confirmed: what it tells is over.
         if (machine.phase == MachinePhase.GONE) return false
         state.describe(machine, report.address, report.type, report.zone, report.spot)
-        if (report.session < machine.session ||
-            report.session == machine.session && report.sequence <= machine.sequence
-        ) {
-            return false
+        val newSession = when (machine.lease.on(SessionLease.Event.Heard(report.session, report.sequence, report.token, now))) {
+            Finding.NEW_SESSION -> true
+            Finding.NEWER -> false
+            Finding.STALE, Finding.NONE, Finding.OVER -> return false
         }
-        val newSession = report.session > machine.session
-        machine.session = report.session
-        machine.sequence = report.sequence
-        // From its first word under this term on, nobody but this holder can renew the worker's lease.
-        if (machine.ackedToken < state.termToken && report.token >= state.termToken) machine.lastAnsweredAt = now
-        machine.ackedToken = maxOf(machine.ackedToken, report.token)
         machine.lastHeardAt = now
         if (machine.phase in SILENT) machine.enter(MachinePhase.UP)
         if (machine.placements.isEmpty() && machine.idleSince == Long.MIN_VALUE) machine.idleSince = now
--- a/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
@@ -24,7 +25,7 @@
         for (m in state.machines) {
             if (m.phase == MachinePhase.UP && zones.overdue(m, now)) m.enter(MachinePhase.QUIET)
             // A word of it that was held back says nothing of now: it has not been heard under this term.
-            if (m.phase == MachinePhase.QUIET && m.ackedToken < state.termToken && zones.silentMs(m, now) > unheardMs) m.enter(MachinePhase.UNHEARD)
+            if (m.phase == MachinePhase.QUIET && !m.lease.fenced && zones.silentMs(m, now) > unheardMs) m.enter(MachinePhase.UNHEARD)
         }
     }
 
@@ -32,7 +33,7 @@
     fun expectedBack(m: Machine, now: Long): Boolean =
         m.phase == MachinePhase.QUIET || m.phase == MachinePhase.UNHEARD || m.phase == MachinePhase.LOST && zones[m.zone] != ZoneState.CALM && zones.silentMs(m, now) < patienceMs(m)
 
-    private val unheardMs get() = (state.cluster.leaseMs * Fleet.DRIFT).toLong() + Fleet.MARGIN_MS
+    private val unheardMs get() = (state.cluster.leaseMs * SessionLease.DRIFT).toLong() + SessionLease.MARGIN_MS
 
     /** From the end of its lease on: as long as a replacement would take to boot and to fetch the largest image that is here. */
     private fun patienceMs(m: Machine): Long {
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -105,7 +105,7 @@
     private fun send(machine: Machine, now: Long) {
         val address = machine.address ?: return
         if (machine.commandBusy || now < machine.nextCommandAt || machine.phase == MachinePhase.GONE) return
-        val unfenced = machine.ackedToken < state.termToken && machine.session > 0
+        val unfenced = !machine.lease.fenced && machine.lease.session > 0
         if (machine.placements.isEmpty() && !unfenced || sent.size >= state.cluster.maxSends) return
         val commands = ArrayList<Command>()
         val starts = ArrayList<Placement>()
@@ -128,7 +128,7 @@
             p.voidAbove = machine.token + 1
         }
         sent[id] = Message(machine, starts)
-        state.effects += Effect.Send(id, machine.name, address, machine.token, machine.session, commands)
+        state.effects += Effect.Send(id, machine.name, address, machine.token, machine.lease.session, commands)
     }
 
     private fun ready(p: Placement): Boolean {
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.model
 
+import org.honeyjunction.core.evidence.SessionLease
+
 enum class MachinePhase {
     /** Rented or listed; its worker has never been heard, as far as this holder knows. */
     BOOTING,
@@ -22,7 +24,8 @@
     GONE,
 }
 
-class Machine(val index: Int, val name: String) {
+/** [lease]: its worker's session and lease, as this term knows them. */
+class Machine(val index: Int, val name: String, var lease: SessionLease) {
     var phase = MachinePhase.BOOTING
         private set
     var address: String? = null
@@ -32,17 +35,10 @@
 
     /** What it is to the rules in force; below 0: nothing, or not known yet. */
     var place = -1
-    var session = 0L
-    var sequence = 0L
 
-    /** The token that commands to this machine carry, and the highest it was seen to know. */
+    /** The token that commands to this machine carry. */
     var token = 0L
-    var ackedToken = -1L
     var lastHeardAt = Long.MIN_VALUE / 2
-    var lastAnsweredAt = Long.MIN_VALUE / 2
-
-    /** When this machine was last taken to have outlived its lease. */
-    var expiredAt = Long.MIN_VALUE / 2
     var knownSince = 0L
     var idleSince = Long.MIN_VALUE
     var noticeUntil: Long? = null
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -79,6 +79,10 @@
     /** Whether connections across a cut are reset, so that nothing is held back. */
     var resets = false
 
+    /** Until then an overloaded holder reads reports but its answers come too late; and then, until when it does not even read them. Commands pass. */
+    var answersLateUntil = 0L
+    var reportsWaitUntil = 0L
+
     /** All machines of [zone] that are up lose the network together. */
     fun cut(zone: String, forMs: Long) = workers.values.filter { it.box.zone == zone && !it.dead }.forEach { it.cutUntil = now + forMs }
 
@@ -259,7 +263,7 @@
 
     private fun hello(w: Worker) {
         nextReportAt[w.name] = now + setup.reportMs * 3 / 4 + random.nextInt((setup.reportMs / 2).toInt())
-        if (w.silent(now) || resets && now < w.cutUntil) return
+        if (w.silent(now) || resets && now < w.cutUntil || now in answersLateUntil..<reportsWaitUntil) return
         val report = w.report()
         val sentAt = now
         // A report that is held back arrives late, at whoever holds the term by then.
@@ -269,7 +273,7 @@
             core.run {
                 val answer = hello(report, now) ?: return@run
                 val (token, commands) = answer.token to answer.commands
-                at(latency()) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
+                at(if (now < answersLateUntil) 5_000 else latency()) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
             }
         }
     }
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/OverloadTest.kt
@@ -0,0 +1,42 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.emulator.Setup
+import org.honeyjunction.emulator.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** A holder that falls behind: its answers to reports come too late, or reports wait unread, while commands pass. */
+class OverloadTest {
+    /**
+     * The night on which tasks ran twice: a worker's lease ended, its next session was first heard in the answer to a command,
+     * tasks were started in it, and a moment later all on the machine was taken for gone by the lease of the session before.
+     */
+    @ParameterizedTest(name = "seed {0}, {1} ms")
+    @CsvSource("1,5000", "2,5000", "3,6000", "4,8000", "5,10000", "6,11000")
+    fun `reports that wait while commands pass do not make tasks run twice`(seed: Long, lateMs: Long) {
+        val w = World(seed, capacity = 16, setup = Setup(limits = mapOf("a" to 160.0, "b" to 160.0)))
+        w.elect()
+        // Half of every machine is taken by what will be cancelled: the commands that stop it are answered with the next session.
+        val doomed = w.submit(1_000, JobKind.ARRAY, 32, "a", seconds = 1e6)
+        val jobs = arrayListOf(w.submit(3, JobKind.ARRAY, 64, "b", seconds = 12.0))
+        w.run(30_000)
+        w.answersLateUntil = w.now + lateMs
+        w.reportsWaitUntil = w.now + lateMs + 16_000
+        w.run(12_500)
+        w.cancel(doomed)
+        repeat(20) {
+            jobs += w.submit(6 + 3 * it, JobKind.ARRAY, 3, if (it % 2 == 0) "a" else "b", seconds = 8.0)
+            w.run(400)
+        }
+        w.workers.values.take(2).forEach { it.dead = true }
+        w.run(lateMs)
+        w.crash()
+        w.run(120_000)
+        assertEquals(emptyList<String>(), w.broken)
+        assertTrue(jobs.all { w.state.finals[it]?.stage == JobStage.DONE }, "all is done in the end")
+    }
+}
