Results and starts of an array are recorded as sets of numbers; reports stay bounded

Change: core.results.TaskNumbers writes a set of task numbers window by window, as runs or as a bitmap. Results of a window stand in one page and move with it; starts of one attempt on one machine share their entry, and all that a round starts of an array shares its attempt. A machine that has 327 tasks and results in its reports gets no more; an answer forgets 600 at most; a report of up to 512 KiB is answered.

--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -29,6 +29,7 @@
 import org.honeyjunction.wire.CloudCodec
 import org.honeyjunction.wire.Entry
 import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.HttpLimits
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.PeerMessage
@@ -54,7 +55,7 @@
     private val registry = nomad?.takeIf { it.on }?.let { NomadRegistry(this, it) }
     private val nomadServer = registry?.let { r ->
         val api = NomadApi(this, r, status)
-        HttpServer(loop, (settings.maxSockets * NOMAD_SHARE).toInt(), mayClose = { false }, api::handle)
+        HttpServer(loop, (settings.maxSockets * NOMAD_SHARE).toInt(), mayClose = { false }, handle = api::handle)
     }
     private val round = Round(tuning.cost)
     private var driver: HolderDriver? = null
@@ -74,7 +75,7 @@
     private var sharedAt = Long.MIN_VALUE / 2
     private var typesBody = Response.NO_BODY
 
-    private val server = HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), mayClose = { it.path == HELLO }, ::answer)
+    private val server = HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), mayClose = { it.path == HELLO }, MOST_REPORT_BYTES, ::answer)
 
     val isHolder: Boolean get() = driver != null
 
@@ -114,7 +115,7 @@
     private suspend fun answer(r: Request): Response = when (r.path) {
         "/up" -> if (r.method == "GET") up() else Response(405)
         HELLO -> if (r.method == "POST") hello(r) else Response(405)
-        else -> asked(r, forwarded = false)
+        else -> if (r.body.size > HttpLimits().body) Response(413) else asked(r, forwarded = false)
     }
 
     /** What users and operators ask, here or through another controller. */
@@ -408,6 +409,9 @@
 
     private companion object {
         const val HELLO = "/hello"
+
+        /** A report that has grown too large must be answered all the same: only the answer makes it smaller. */
+        const val MOST_REPORT_BYTES = 512 * 1024
         const val LOOK_MS = 400L
         const val SHARE_MS = 250L
         const val SILENT_MS = 3_000L
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -7,11 +7,13 @@
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Placement
+import org.honeyjunction.core.model.Task
 import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.Rule
 import org.honeyjunction.core.rules.RuleSet
+import java.util.BitSet
 
 class HelloAnswer(val token: Long, val commands: List<Command>)
 
@@ -71,7 +73,7 @@
         state.active.values.forEach { fleet.noteArrival(it, startedAt) }
     }
 
-    private fun tasks(id: String, numbers: List<Int>) = state.job(id)?.tasks?.let { all -> numbers.mapNotNull(all::getOrNull) }.orEmpty()
+    private fun tasks(id: String, numbers: BitSet): List<Task> = state.job(id)?.tasks?.let { all -> numbers.stream().toArray().asList().mapNotNull(all::getOrNull) }.orEmpty()
 
     private fun recover(hint: MachineHint, now: Long, wallNow: Long) {
         val machine = state.addMachine(hint.name, now)
@@ -130,7 +132,7 @@
         val machine = state.addMachine(report.machine, now)
         machine.lease.on(SessionLease.Event.Answered(report.session, now))
         settle(now)
-        val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }
+        val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }.take(MAX_FORGET)
         return HelloAnswer(machine.token, forget.map { Command.Forget(it.task, it.attempt) })
     }
 
@@ -271,6 +273,9 @@
     private companion object {
         val REPORTING = setOf(MachinePhase.UP, MachinePhase.QUIET, MachinePhase.UNHEARD, MachinePhase.LOST)
         const val MAX_ROWS = 256
+
+        /** Some 70 bytes each: no line of an answer may be longer than 64 KiB (PROTOCOL). The rest follows with the next report. */
+        const val MAX_FORGET = 600
         const val NEW_JOB_MS = 30L
         const val PREEMPTION_MS = 300L
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
@@ -2,12 +2,15 @@
 
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.model.Task
+import org.honeyjunction.core.results.TaskNumbers
+import java.util.BitSet
 
-/** A page of the ledger as the state service has it. */
-data class PageRecord(val page: Int, val version: Long, val starts: List<RecordedStart>, val done: Map<String, List<Int>>)
+/** A page of the ledger as the state service has it; [done] are the numbers of finished tasks, by job. */
+data class PageRecord(val page: Int, val version: Long, val starts: List<RecordedStart>, val done: Map<String, BitSet>)
 
 data class RecordedStart(val job: String, val number: Int, val attempt: Long, val machine: String)
 
@@ -17,34 +20,65 @@
  * Every start that may have been sent, and every result that a worker may have been told to forget, stands in a page.
  * Entries that are no longer needed are dropped whenever their page is written again. A page is written only on
  * condition of its last known version, so a write that is applied late cannot bring back an older page.
+ *
+ * An array may have tens of thousands of tasks that take seconds. Its results stand as sets of numbers, window by window,
+ * and its starts by machine and attempt, so that what a task adds is a few bytes; see [TaskNumbers].
  */
 class Ledger(private val state: ClusterState) {
+    /** The results of up to [TaskNumbers.WINDOW] tasks of [job]: those known, and those that a page is known to have. */
+    private class Results(val job: Job, val first: Int) {
+        val known = BitSet()
+        val durable = BitSet()
+
+        /** An upper bound of the bytes that it takes, its job's name included. */
+        var bytes = 0
+            private set
+
+        fun add(number: Int) {
+            known.set(number)
+            bytes = TaskNumbers.length(known, first) + cost(job)
+        }
+    }
+
     private class Page(val number: Int, var version: Long) {
         val starts = LinkedHashSet<Placement>()
-        val done = LinkedHashMap<Job, MutableList<Task>>()
+        val results = LinkedHashSet<Results>()
         var busy = false
 
         /** An upper bound of the bytes that the entries take; those not needed any more are dropped on the way. */
         fun size(): Int {
             starts.removeIf { it.gone }
-            done.keys.removeIf { it.stage != JobStage.ACTIVE }
-            return starts.sumOf(::cost) + done.entries.sumOf { (job, tasks) -> cost(job) + tasks.sumOf(::cost) }
+            results.removeIf { it.job.stage != JobStage.ACTIVE }
+            return cost(starts) + results.sumOf { it.bytes }
         }
     }
 
     private val pages = ArrayList<Page>()
     private val starts = LinkedHashSet<Placement>()
-    private val done = LinkedHashSet<Task>()
+    private val results = HashMap<Job, HashMap<Int, Results>>()
+
+    /** Those with numbers that no page has yet. */
+    private val due = LinkedHashSet<Results>()
     private var nextWriteAt = Long.MIN_VALUE
     private val capacity get() = state.cluster.pageBytes
 
-    /** Takes over a page of an earlier term; [placements] and [results] are its entries that are still needed. */
-    fun restore(number: Int, version: Long, placements: List<Placement>, results: List<Task>) {
+    /** Takes over a page of an earlier term; [placements] and [done] are its entries that are still needed. */
+    fun restore(number: Int, version: Long, placements: List<Placement>, done: List<Task>) {
         while (pages.size <= number) pages += Page(pages.size, 0)
         val page = pages[number]
         page.version = version
         page.starts += placements
-        results.forEach { page.done.getOrPut(it.job, ::ArrayList) += it }
+        for (task in done) {
+            val r = resultsOf(task)
+            r.add(task.number)
+            r.durable.set(task.number)
+            page.results += r
+        }
+    }
+
+    private fun resultsOf(task: Task): Results {
+        val first = task.number / TaskNumbers.WINDOW * TaskNumbers.WINDOW
+        return results.getOrPut(task.job, ::HashMap).getOrPut(first) { Results(task.job, first) }
     }
 
     /** A reservation that must be written before its start is sent. */
@@ -54,16 +88,20 @@
 
     /** A result that must be written before its attempt is forgotten. */
     fun add(result: Task) {
-        done += result
+        val r = resultsOf(result)
+        r.add(result.number)
+        due += r
     }
 
-    fun census() = "ledger: ${starts.size} starts and ${done.size} results to write, ${pages.size} pages, ${pages.count { it.busy }} busy"
+    fun census() = "ledger: ${starts.size} starts and ${due.sumOf { it.known.cardinality() - it.durable.cardinality() }} results to write, " +
+        "${pages.size} pages, ${pages.count { it.busy }} busy"
 
     fun flush(now: Long) {
         starts.removeIf { it.gone || it.phase != Phase.RESERVED }
-        done.removeIf { it.job.stage != JobStage.ACTIVE || it.job.closing }
-        if (starts.isEmpty() && done.isEmpty() || now < nextWriteAt || pages.count { it.busy } >= MAX_BUSY) return
+        due.removeIf { it.job.stage != JobStage.ACTIVE || it.job.closing }
+        if (starts.isEmpty() && due.isEmpty() || now < nextWriteAt || pages.count { it.busy } >= MAX_BUSY) return
         nextWriteAt = now + state.cluster.pageGapMs
+        results.keys.removeIf { it.stage != JobStage.ACTIVE }
         write(roomiest())
     }
 
@@ -76,55 +114,80 @@
 
     private fun write(page: Page) {
         var room = capacity - page.size()
-        // When hundreds wait after a mass failure, what is needed most is on the first page.
-        val newStarts = starts.sortedByDescending { it.task.job.spec.priority }.takeWhile { p -> (room >= cost(p)).also { if (it) room -= cost(p) } }
-        val newDone = done.takeWhile { t ->
-            val cost = cost(t) + if (t.job in page.done) 0 else cost(t.job)
-            (room >= cost).also { if (it) room -= cost }
+        // Results first: they are short, and until they are durable their workers go on reporting them. Starts keep half.
+        var left = if (starts.isEmpty()) room else room / 2
+        val newResults = due.takeWhile { r ->
+            val more = if (r in page.results) 0 else r.bytes
+            (left >= more).also { if (it) left -= more }
         }
+        room -= newResults.sumOf { if (it in page.results) 0 else it.bytes }
+        due.removeAll(newResults.toSet())
+        // When hundreds wait after a mass failure, what is needed most is on the first page.
+        val sum = Sum()
+        val newStarts = starts.sortedByDescending { it.task.job.spec.priority }.takeWhile { p -> room >= sum.with(p) }
         starts.removeAll(newStarts.toSet())
-        done.removeAll(newDone.toSet())
-        val results = page.done.mapValuesTo(LinkedHashMap()) { it.value.toMutableList() }
-        newDone.forEach { results.getOrPut(it.job, ::ArrayList) += it }
-        val change = Change.Page(
-            PageRecord(
-                page.number, page.version,
-                (page.starts + newStarts).map { RecordedStart(it.task.job.spec.id, it.task.number, it.attempt, it.machine.name) },
-                results.entries.associate { (job, tasks) -> job.spec.id to tasks.map { it.number } },
-            ),
-            state.nextSequence(),
+        val written = (page.results + newResults).associateWith { it.known.clone() as BitSet }
+        val done = LinkedHashMap<String, BitSet>()
+        written.forEach { (r, numbers) -> done.getOrPut(r.job.spec.id, ::BitSet).or(numbers) }
+        val record = PageRecord(
+            page.number, page.version,
+            (page.starts + newStarts).map { RecordedStart(it.task.job.spec.id, it.task.number, it.attempt, it.machine.name) }, done,
         )
         page.busy = true
-        state.commit(listOf(change)) { outcome ->
+        state.commit(listOf(Change.Page(record, state.nextSequence()))) { outcome ->
             page.busy = false
             when (outcome) {
                 is CommitOutcome.Applied -> {
                     page.version = outcome.version
                     page.starts += newStarts
                     newStarts.forEach { if (!it.gone && it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, state.now) }
-                    newDone.forEach { page.done.getOrPut(it.job, ::ArrayList) += it }
-                    newDone.forEach { it.doneDurable = true }
+                    written.forEach { (r, numbers) -> durable(r, numbers, page) }
                 }
                 // Either content may be the durable one: what stood there before stands in both, the rest is written again.
                 is CommitOutcome.Failed -> {
                     outcome.version?.let { page.version = it }
                     starts += newStarts
-                    done += newDone
+                    due += newResults
                 }
             }
         }
     }
 
+    /** [page] has [numbers] of [r] now: all that was durable of it before, so that other pages need it no longer. */
+    private fun durable(r: Results, numbers: BitSet, page: Page) {
+        val fresh = numbers.clone() as BitSet
+        fresh.andNot(r.durable)
+        r.durable.or(numbers)
+        fresh.stream().forEach { r.job.tasks[it].doneDurable = true }
+        pages.forEach { if (it !== page && !it.busy) it.results -= r }
+        page.results += r
+    }
+
+    /** Bytes of starts that are recorded together: those of one attempt on one machine share all but their numbers. */
+    private class Sum {
+        private val groups = HashSet<Triple<Job, Long, Machine>>()
+        private var bytes = 0
+
+        /** The sum with [p], which is added. */
+        fun with(p: Placement): Int {
+            val job = p.task.job
+            if (groups.add(Triple(job, p.attempt, p.machine))) bytes += job.spec.id.length + p.machine.name.length + PUNCTUATION
+            bytes += NUMBER
+            return bytes
+        }
+    }
+
     private companion object {
         const val MAX_BUSY = 3
+
+        /** Quotes, commas and the attempt. */
         const val PUNCTUATION = 30
-        const val NUMBER = 8
 
-        fun cost(p: Placement) = p.task.job.spec.id.length + p.machine.name.length + PUNCTUATION
+        /** A task's number of six digits and its comma. */
+        const val NUMBER = 7
 
-        fun cost(job: Job) = job.spec.id.length + NUMBER
+        fun cost(starts: Collection<Placement>): Int = Sum().let { sum -> starts.fold(0) { _, p -> sum.with(p) } }
 
-        @Suppress("UNUSED_PARAMETER")
-        fun cost(task: Task) = NUMBER
+        fun cost(job: Job) = job.spec.id.length + 8
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -158,14 +158,14 @@
     /** The machines that have room for one of [demands], or will have it soon for one whose image they cache. */
     fun rooms(demands: List<Wanted>, now: Long): List<Room> {
         val images = demands.mapTo(HashSet()) { it.sample.image }
-        return state.machines.filter { it.usable && it.address != null && it.type in state.cluster.types }.mapNotNull { m ->
+        return state.machines.filter { it.takesMore && it.address != null && it.type in state.cluster.types }.mapNotNull { m ->
             val soon = if (m.images.keys.any { it in images }) soon(m, now) else emptyList()
             if (soon.isEmpty() && !hasRoom(m, demands, now)) null else room(m, now, soon)
         }
     }
 
     /** All machines that have any room. */
-    fun free(now: Long): List<Room> = state.machines.filter { it.usable && it.address != null && it.type in state.cluster.types }
+    fun free(now: Long): List<Room> = state.machines.filter { it.takesMore && it.address != null && it.type in state.cluster.types }
         .filter { m -> state.room(m).let { it.cpus > LEAST_ROOM && it.memoryGb > LEAST_ROOM } }.map { room(it, now) }
 
     /** Waiting jobs that only their team's limit keeps out of [demands]. */
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -32,6 +32,7 @@
             if (said?.attempt == placement.attempt) continue
             if (provesGone(placement, report, newSession)) state.remove(placement, now)
         }
+        machine.endedSaid = report.tasks.count { it.state is TaskState.Ended }
         report.tasks.forEach { takeIn(machine, it, now) }
         state.touched += machine
         if (report.noticeS != null) notice(machine, report.noticeS, now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -28,12 +28,13 @@
             if (!job.startable || job.notBefore > now) continue
             val gang = job.spec.kind == JobKind.GANG
             if (gang && !wholeGang(job, members.map { proposals[it].task })) continue
+            // One attempt for all that starts together: it tells one start of a task from another, and the record is shorter.
             val attempt = state.nextSequence()
             val placed = ArrayList<Placement>()
             val locals = HashSet<Placement>()
             for (i in members) {
                 val local = explainer != null && job.image in state.machineAt(proposals[i].machine)?.images.orEmpty()
-                val placement = reserve(job, proposals[i], if (gang) attempt else state.nextSequence(), now)
+                val placement = reserve(job, proposals[i], attempt, now)
                 if (placement != null) {
                     placed += placement
                     if (local) locals += placement
@@ -60,7 +61,7 @@
     private fun reserve(job: Job, proposal: Proposal, attempt: Long, now: Long): Placement? {
         val task = job.tasks.getOrNull(proposal.task) ?: return null
         val machine = state.machineAt(proposal.machine) ?: return null
-        if (task.done || task.placements.isNotEmpty() || !machine.usable || machine.address == null) return null
+        if (task.done || task.placements.isNotEmpty() || !machine.takesMore || machine.address == null) return null
         if (state.heldFor(machine, now).let { it != null && it !== job && job.spec.priority <= it.spec.priority }) return null
         if (job.spec.priority < machine.floorAt(now) || !state.suits(job, task, machine) || state.barred(job, task, machine) != null) return null
         if (!job.spec.need.fitsIn(state.room(machine))) return null
@@ -110,6 +111,7 @@
         val commands = ArrayList<Command>()
         val starts = ArrayList<Placement>()
         for (p in machine.placements.values) {
+            if (commands.size >= MAX_COMMANDS) break
             if (p.phase == Phase.RECORDED && now < state.leaseValidUntil && machine.usable && ready(p)) {
                 starts += p
                 commands += Command.Start(p.task.id, p.attempt)
@@ -173,6 +175,9 @@
         const val RESERVE_MS = 6_000L
         const val STOP_AGAIN_MS = 1_500L
         const val RETRY_MS = 500L
+
+        /** Some 70 bytes each, of the 64 KiB that a message may have. */
+        const val MAX_COMMANDS = 400
     }
 }
 
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -74,6 +74,12 @@
 
     val usable get() = phase == MachinePhase.UP
 
+    /** Ended tasks in its newest report; they stay there until their results are durable and they are forgotten. */
+    var endedSaid = 0
+
+    /** Whether more may be started here: its reports list all that runs and all that has ended, and are bounded in size. */
+    val takesMore get() = usable && placements.size + endedSaid < MOST_SAID
+
     /** The only way a machine's phase changes. A release is never taken back. */
     fun enter(next: MachinePhase) {
         check(phase < MachinePhase.RELEASING || next >= phase) { "$name: $phase -> $next" }
@@ -107,4 +113,9 @@
             total -= images.remove(candidate) ?: 0.0
         }
     }
+
+    companion object {
+        /** Tasks in one report: at a hundred bytes each, half of the 64 KiB that a message may have (PROTOCOL). */
+        const val MOST_SAID = 327
+    }
 }
--- a/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -27,6 +27,8 @@
     private val loop: Loop,
     private val maxConnections: Int,
     private val mayClose: (Request) -> Boolean,
+    /** Of a request's body, in bytes. */
+    private val mostBytes: Int = HttpLimits().body,
     private val handle: suspend (Request) -> Response,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
@@ -78,7 +80,7 @@
     }
 
     private suspend fun serve(channel: AsynchronousSocketChannel) {
-        val parser = HttpParser(HttpParser.Kind.REQUEST, HttpLimits())
+        val parser = HttpParser(HttpParser.Kind.REQUEST, HttpLimits(body = mostBytes))
         val buffer = ByteBuffer.allocate(BUFFER)
         buffer.flip()
         while (true) {
--- a/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
@@ -17,7 +17,7 @@
     private val shut get() = store.down || now() < refusedUntil
 
     fun listen(): Int {
-        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, ::answer).listen(InetSocketAddress("127.0.0.1", 0))
+        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(InetSocketAddress("127.0.0.1", 0))
         return (server.localAddress as InetSocketAddress).port
     }
 
--- a/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
@@ -25,7 +25,7 @@
     private val scope = CoroutineScope(loop.scope.coroutineContext + Job(loop.scope.coroutineContext[Job]))
     private val connections = Connections(loop, most = 2)
     private var node = random.nextInt(nodes.size)
-    private val server: AsynchronousServerSocketChannel = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, ::answer).listen(InetSocketAddress("127.0.0.1", 0))
+    private val server: AsynchronousServerSocketChannel = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(InetSocketAddress("127.0.0.1", 0))
     val address: String get() = "127.0.0.1:${(server.localAddress as InetSocketAddress).port}"
 
     fun start() {
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -6,6 +6,8 @@
 import org.honeyjunction.core.control.MachineHint
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
+import org.honeyjunction.core.results.TaskNumbers
+import java.util.BitSet
 
 /** A key's value with its version; version 0 stands for a key that is not there. */
 class Entry(val key: String, val value: JsonNode?, val version: Long, val lease: Long?)
@@ -66,26 +68,37 @@
 
     fun leaseId(body: ByteArray): Long = Json.readObject(body).count("NectarGrant")
 
-    /** Starts as flat groups of job, number, attempt and machine; results by job. */
+    /** Starts as flat groups of job, numbers, attempt and machine; results by job, both as [TaskNumbers]. */
     fun page(r: PageRecord, write: Long): ObjectNode = Json.obj().apply {
         put("write", write)
         val starts = putArray("starts")
-        r.starts.forEach { starts.add(it.job).add(it.number).add(it.attempt).add(it.machine) }
+        r.starts.groupBy { Triple(it.job, it.attempt, it.machine) }.forEach { (group, members) ->
+            val numbers = BitSet().apply { members.forEach { set(it.number) } }
+            starts.add(group.first).add(TaskNumbers.text(numbers)).add(group.second).add(group.third)
+        }
         val done = putObject("done")
-        r.done.forEach { (job, numbers) -> done.putArray(job).apply { numbers.forEach(::add) } }
+        r.done.forEach { (job, numbers) -> done.put(job, TaskNumbers.text(numbers)) }
     }
 
     fun page(number: Int, version: Long, v: JsonNode) = PageRecord(
         number, version,
-        v.list("starts").chunked(START_FIELDS).map { f ->
-            if (f.size < START_FIELDS || !f[0].isTextual || !f[1].isInt || !f[2].isIntegralNumber || !f[3].isTextual) {
+        v.list("starts").chunked(START_FIELDS).flatMap { f ->
+            if (f.size < START_FIELDS || !f[0].isTextual || !f[2].isIntegralNumber || !f[3].isTextual) {
                 throw MalformedException("page $number: a start is invalid")
             }
-            RecordedStart(f[0].textValue(), f[1].intValue(), f[2].longValue(), f[3].textValue())
+            numbers(f[1], number).stream().toArray().map { RecordedStart(f[0].textValue(), it, f[2].longValue(), f[3].textValue()) }
         },
-        v.given("done")?.properties().orEmpty().associate { (job, numbers) -> job to numbers.map { it.intValue() } },
+        v.given("done")?.properties().orEmpty().associate { (job, numbers) -> job to numbers(numbers, number) },
     )
 
+    /** Earlier versions wrote a number, or an array of numbers. */
+    private fun numbers(v: JsonNode, page: Int): BitSet = when {
+        v.isTextual -> TaskNumbers.read(v.textValue()) ?: throw MalformedException("page $page: the numbers ${v.textValue().take(MOST_SHOWN)} are invalid")
+        v.isInt && v.intValue() >= 0 -> BitSet().apply { set(v.intValue()) }
+        v.isArray && v.all { it.isInt && it.intValue() >= 0 } -> BitSet().apply { v.forEach { set(it.intValue()) } }
+        else -> throw MalformedException("page $page: numbers are invalid")
+    }
+
     /** Which writing of a page [v] is. */
     fun pageWrite(v: JsonNode?): Long? = v?.given("write")?.longValue()
 
@@ -108,4 +121,5 @@
     }
 
     private const val START_FIELDS = 4
+    private const val MOST_SHOWN = 40
 }
--- a/src/test/kotlin/org/honeyjunction/core/LedgerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/LedgerTest.kt
@@ -17,6 +17,7 @@
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.emulator.Setup
 import org.honeyjunction.emulator.World
+import org.honeyjunction.core.results.TaskNumbers
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.StateCodec
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -81,7 +82,7 @@
         reserve(1)
         val (_, page) = written().single()
         assertEquals(listOf(0, 2, 1), page.named())
-        assertEquals(mapOf("j-000001" to listOf(9)), page.done)
+        assertEquals(mapOf("j-000001" to "9"), page.done.mapValues { TaskNumbers.text(it.value) })
         assertEquals(10L, page.version)
     }
 
@@ -114,4 +115,36 @@
         assertEquals((0 until 150).toSet(), seen)
         assertEquals(setOf(Phase.RECORDED), job.placements.map { it.phase }.toSet())
     }
+
+    /** Guards against the night on which 18,000 results waited: one page write must take thousands of them. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("in order, 1, 3", "every second first, 2, 10", "scattered, 7919, 26")
+    fun `twenty thousand results take a few writes, in any order`(name: String, step: Int, writes: Int) {
+        val large = state.addJob(StoredJob(spec.copy(id = "j-000002", tasks = 20_000), "n", 0, 9, JobStage.ACTIVE), 0, 0)
+        val order = if (step == 2) (0 until 20_000 step 2) + (1 until 20_000 step 2) else (0 until 20_000).map { (it.toLong() * step % 20_000).toInt() }
+        var count = 0
+        for (chunk in order.chunked(7_000)) {
+            chunk.forEach { n -> large.tasks[n].let { if (large.finish(it)) ledger.add(it) } }
+            repeat(20) {
+                for ((id, page) in written()) {
+                    count++
+                    assertTrue(Json.write(StateCodec.page(page, Long.MAX_VALUE)).size <= state.cluster.pageBytes + 60, "page of ${page.done}")
+                    state.committed(id, CommitOutcome.Applied(100L + count))
+                }
+            }
+        }
+        assertTrue(large.tasks.all { it.doneDurable })
+        assertTrue(count <= writes, "$name: $count writes")
+    }
+
+    @Test
+    fun `the starts of one array on one machine share their record`() {
+        val large = state.addJob(StoredJob(spec.copy(id = "j-000003", tasks = 96, need = Resources(0.01, 0.01, 0.01)), "n", 0, 9, JobStage.ACTIVE), 0, 0)
+        large.tasks.forEach { state.place(it, state.addMachine("vm-000001", 0), 77, Phase.RESERVED, now).also(ledger::add) }
+        val (_, page) = written().single()
+        assertEquals(79, page.named().size, "as many as surely fit into 600 bytes")
+        val json = StateCodec.page(page, 4)
+        assertTrue(Json.write(json).size < 120, "$json")
+        assertEquals(page, StateCodec.page(page.page, page.version, Json.read(Json.write(json))))
+    }
 }
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import java.util.BitSet
 
 class RecoveryTest {
     private val term = 3L
@@ -39,7 +40,7 @@
         false, false, false, 10.0, 0.0, 0.0, null,
     )
     private val hint = MachineHint("vm-1", "10.1.0.1:1", "t4", "x", false, 1, mapOf("i" to 5.0))
-    private val page = PageRecord(2, 9, listOf(RecordedStart("j-1", 0, 77, "vm-1")), mapOf("j-7" to listOf(0, 5)))
+    private val page = PageRecord(2, 9, listOf(RecordedStart("j-1", 0, 77, "vm-1")), mapOf("j-7" to BitSet().apply { set(0); set(5) }))
 
     private fun holder() = Holder(
         Setup().cluster(), Tuning(), term, "n",
