One door for what a holder decided: shut when it wakes past its lease

Need: controllers that stand still for seconds while their clocks run on.

Change: core.evidence.TermDoor, with named states (OPEN, OVERDUE, WOKEN) and one function. Every event passes it before it is looked at; while WOKEN only answers to workers go out. Commands, rentals and releases ask again when they have a connection. A pause is not counted as silence of the machines.

Measured: a table of what a woken holder hears first, six standstills in the emulator (4 to 60 s, with an outage, with machines that die and a zone that is cut).

--- a/src/main/kotlin/org/honeyjunction/app/CloudClient.kt
+++ b/src/main/kotlin/org/honeyjunction/app/CloudClient.kt
@@ -25,8 +25,8 @@
 
     suspend fun types(): ByteArray = ok(ask("GET", "/machine_types")).body
 
-    suspend fun rent(e: Effect.Rent): RentResult {
-        val r = ask("POST", "/rentals", CloudCodec.rent(e), urgent = true)
+    suspend fun rent(e: Effect.Rent, still: () -> Boolean): RentResult {
+        val r = ask("POST", "/rentals", CloudCodec.rent(e), urgent = true, still)
         return when {
             r.status == 200 -> Rented(parse { CloudCodec.rented(r.body) })
             r.status == 503 && "no capacity" in String(r.body) -> NoCapacity
@@ -35,8 +35,8 @@
         }
     }
 
-    suspend fun release(machines: List<String>) {
-        ok(ask("POST", "/rentals/release", CloudCodec.names(machines), urgent = true))
+    suspend fun release(machines: List<String>, still: () -> Boolean) {
+        ok(ask("POST", "/rentals/release", CloudCodec.names(machines), urgent = true, still))
     }
 
     suspend fun list(after: String?): CloudCodec.Page {
@@ -44,9 +44,9 @@
         return parse { CloudCodec.page(ok(ask("GET", "/rentals?${since}Most=500")).body) }
     }
 
-    private suspend fun ask(method: String, path: String, body: ByteArray = Response.NO_BODY, urgent: Boolean = false): Response {
+    private suspend fun ask(method: String, path: String, body: ByteArray = Response.NO_BODY, urgent: Boolean = false, still: () -> Boolean = { true }): Response {
         budget.take(1, urgent)
-        return http.send(method, path, body, TIMEOUT_MS)
+        return http.send(method, path, body, TIMEOUT_MS, still)
     }
 
     private fun ok(r: Response) = if (r.status == 200) r else throw IOException("cloud: ${r.status}")
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
@@ -47,14 +48,12 @@
     private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
     private val workers = Connections(loop, holder.state.cluster.maxSends, perAddress = 1)
     private val cancelWaiters = HashMap<String, MutableList<CompletableDeferred<JobStage>>>()
-    var validUntil = term.validUntil
-        private set
 
     /** Sure of being the only holder: answers from memory can't be older than anyone else's. */
-    val certain: Boolean get() = scope.isActive && clock.steady() < validUntil
+    val certain: Boolean get() = scope.isActive && holder.mayAct(clock.steady(), withinLease = true)
 
     fun start(jobsFrom: Long) {
-        holder.leaseUntil(validUntil)
+        holder.leaseUntil(term.validUntil, clock.steady())
         guard("the holder's clockwork") { tickAll() }
         guard("following jobs") { followJobs(jobsFrom) }
         guard("listing machines") { listAll() }
@@ -86,8 +85,8 @@
     }
 
     fun renewed(until: Long) {
-        validUntil = until
-        holder.leaseUntil(until)
+        holder.leaseUntil(until, clock.steady())
+        settle()
     }
 
     fun stop() {
@@ -258,7 +257,7 @@
     private suspend fun send(e: Effect.Send) {
         val client = HttpClient(workers, e.address, bodyLimit = 256 * 1024)
         try {
-            val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS)
+            val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS, still(withinLease = e.commands.any { it is Command.Start }))
             when (r.status) {
                 200 -> holder.commandExecuted(e.id, WorkerCodec.report(r.body), clock.steady())
                 409 -> holder.commandRejected(e.id, WorkerCodec.report(r.body), clock.steady())
@@ -274,9 +273,12 @@
         settle()
     }
 
+    /** Asked again at the last moment: between a decision and its sending this process may have stood still. */
+    private fun still(withinLease: Boolean): () -> Boolean = { scope.isActive && holder.mayAct(clock.steady(), withinLease) }
+
     private suspend fun rent(e: Effect.Rent) {
         try {
-            when (val result = cloud.rent(e)) {
+            when (val result = cloud.rent(e, still(withinLease = true))) {
                 is CloudClient.Rented -> {
                     log.info("rented {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
                     holder.rented(e.request, result.machines, clock.steady())
@@ -295,7 +297,7 @@
 
     private suspend fun release(e: Effect.Release) {
         val confirmed = try {
-            cloud.release(e.machines)
+            cloud.release(e.machines, still(withinLease = true))
             true
         } catch (x: IOException) {
             log.debug("releasing: {}", x.message)
--- a/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
@@ -53,7 +53,7 @@
             StoredJob(spec, settings.node, 0, 1, JobStage.ACTIVE)
         }
         val page = StateCodec.page(0, 1, Json.read(Json.write(StateCodec.page(PageRecord(0, 1, listOf(RecordedStart("j-0", 0, 7, "m")), emptyMap()), 1))))
-        val holder = Holder(cluster, Tuning(), 1, settings.node, Recovered(stored, listOf(page), emptyList()), 0, 0, 1_000).also { it.leaseUntil(Long.MAX_VALUE) }
+        val holder = Holder(cluster, Tuning(), 1, settings.node, Recovered(stored, listOf(page), emptyList()), 0, 0, 1_000).also { it.leaseUntil(Long.MAX_VALUE, 0) }
         for (step in 1L..40) {
             val now = step * 250
             for (m in listOf("m", "m2")) holder.hello(Report(m, "127.0.0.1:1", "k", "a", false, 1, step, holder.state.termToken, null, emptyList()), now)
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.evidence.SessionLease
+import org.honeyjunction.core.evidence.TermDoor
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobSpec
@@ -26,7 +27,7 @@
 )
 
 /** What the term holder knows: jobs, machines, and which task is, or might be, where. Totals are kept here alone. */
-class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long) {
+class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long, startedAt: Long = 0) {
     private val jobSlots = ArrayList<Job?>()
     private val jobIndex = Names()
     val active = LinkedHashMap<String, Job>()
@@ -51,8 +52,11 @@
     /** When the latest event came. */
     var now = Long.MIN_VALUE / 2
 
-    /** Until then nobody else can hold the term. */
-    var leaseValidUntil = Long.MIN_VALUE
+    /** What is decided here leaves by this door, or waits. */
+    val door = TermDoor(startedAt)
+
+    /** Until then nobody else can hold the term, as far as this process can be sure of anything. */
+    val leaseValidUntil get() = if (door.state == TermDoor.State.WOKEN) Long.MIN_VALUE else door.validUntil
 
     /** The rules in force, as this holder knows them. */
     var book = RuleBook(cluster, RuleSet.NONE)
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.evidence.SessionLease
+import org.honeyjunction.core.evidence.TermDoor
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
@@ -37,7 +38,7 @@
     listLagMs: Long,
     rules: RuleSet = RuleSet.NONE,
 ) {
-    val state = ClusterState(cluster, tuning, term).apply { use(rules) }
+    val state = ClusterState(cluster, tuning, term, startedAt).apply { use(rules) }
     private val ledger = Ledger(state)
     private val lifecycle = Lifecycle(state, ledger)
     private val reports = Reports(state, lifecycle)
@@ -102,7 +103,26 @@
     /** What waits beside room that it may use, for longer than it should. */
     fun stalled(now: Long): List<Stalled> = conservation.stalled(now)
 
-    fun drain(): List<Effect> = ArrayList(state.effects).also { state.effects.clear() }
+    /** What may leave now; the rest waits until the door opens, or is never done. */
+    fun drain(): List<Effect> {
+        if (state.door.state != TermDoor.State.WOKEN) return ArrayList(state.effects).also { state.effects.clear() }
+        val harmless = state.effects.filter { it is Effect.Tell || it is Effect.StepDown || it is Effect.Cancelled }
+        state.effects.removeAll(harmless.toSet())
+        return harmless
+    }
+
+    /** Before anything else is done with an event: whether this process still knows what it knew. */
+    private fun enter(now: Long) {
+        state.now = now
+        val pauseMs = state.door.beat(now)
+        if (pauseMs > 0) state.effects += Effect.Tell("stood still for $pauseMs ms, the term's lease is ${if (state.door.state == TermDoor.State.OPEN) "still" else "no longer sure to be"} held")
+    }
+
+    /** Whether what was decided a while ago may still be done: start, rent and give back only within the lease, the rest unless woken past it. */
+    fun mayAct(now: Long, withinLease: Boolean): Boolean {
+        enter(now)
+        return state.door.state == TermDoor.State.OPEN || !withinLease && state.door.state == TermDoor.State.OVERDUE
+    }
 
     /** The rules that starts go by from now on; an older version than the present one changes nothing. */
     fun useRules(rules: RuleSet) {
@@ -121,12 +141,12 @@
 
     private fun joined() = RuleSet(operators.version, operators.rules + jobRules, operators.topology)
 
-    fun leaseUntil(until: Long) {
-        state.leaseValidUntil = until
-    }
+    /** The lease of the term holds until then; told at [now]. */
+    fun leaseUntil(until: Long, now: Long) = state.door.renewed(until, now)
 
     /** A worker's report; null when this node has no right to answer it. */
     fun hello(report: Report, now: Long): HelloAnswer? {
+        enter(now)
         if (outdone(report.token)) return null
         reports.absorb(report, now)
         val machine = state.addMachine(report.machine, now)
@@ -152,11 +172,13 @@
     }
 
     fun commandExecuted(id: Long, report: Report, now: Long) {
+        enter(now)
         starts.executed(id, report) { if (!outdone(it.token)) reports.absorb(it, now) }
         settle(now)
     }
 
     fun commandRejected(id: Long, report: Report, now: Long) {
+        enter(now)
         starts.rejected(id, report, now) { if (!outdone(it.token)) reports.absorb(it, now) }
         settle(now)
     }
@@ -164,7 +186,7 @@
     fun commandUnanswered(id: Long, now: Long) = starts.unanswered(id, now)
 
     fun committed(id: Long, outcome: CommitOutcome, now: Long) {
-        state.now = now
+        enter(now)
         state.committed(id, outcome)
         settle(now)
     }
@@ -223,6 +245,8 @@
     }
 
     fun propose(proposals: List<Proposal>, now: Long): List<Boolean> {
+        enter(now)
+        if (state.door.state == TermDoor.State.WOKEN) return proposals.map { false }
         val accepted = starts.accept(proposals, now)
         settle(now)
         return accepted
@@ -239,7 +263,8 @@
     fun released(machines: List<String>, confirmed: Boolean, now: Long) = fleet.released(machines, confirmed, now)
 
     fun tick(now: Long) {
-        state.now = now
+        enter(now)
+        if (state.door.state == TermDoor.State.WOKEN) return
         silence.step(now)
         zones.step(now)
         fleet.watch(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
@@ -87,7 +87,8 @@
 
     fun overdue(m: Machine, now: Long) = silentMs(m, now) > state.cluster.reportMs * OVERDUE_REPORTS
 
-    fun silentMs(m: Machine, now: Long) = now - maxOf(m.lastHeardAt, m.knownSince, startedAt)
+    /** While this process stood still it could hear nobody: that is no silence of theirs. */
+    fun silentMs(m: Machine, now: Long) = now - maxOf(maxOf(m.lastHeardAt, m.knownSince), maxOf(startedAt, state.door.resumedAt))
 
     /** Whether [m] was rented while a zone was cut off that has come back since: it may not be needed any more. */
     fun rentedInstead(m: Machine, now: Long): Boolean = zones.any { m.knownSince in it.cutAt..it.returnedAt && now - it.returnedAt < GIVE_BACK_MS }
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -98,6 +98,13 @@
         at(LEASE) { elect() }
     }
 
+    /** The holder's process stands still for [forMs]; another takes the term when its lease has run out. */
+    fun freeze(forMs: Long) {
+        val core = holder ?: return
+        core.frozenUntil = now + forMs
+        if (forMs > LEASE) at(LEASE + 400) { if (core === holder && !state.down) elect() }
+    }
+
     fun crash() {
         holder?.alive = false
         at(LEASE) { elect() }
@@ -140,10 +147,14 @@
 
         /** Reaches neither the state service nor the cloud: what it asks of them comes late. */
         var cutOff = false
-        val holder = Holder(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules).also { it.leaseUntil(now + LEASE) }
+        val holder = Holder(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules).also { it.leaseUntil(now + LEASE, now) }
+
+        /** Stands still until then, while its clocks run on: what happens meanwhile is seen afterwards, in its order. */
+        var frozenUntil = 0L
 
         fun run(block: Holder.() -> Unit) {
             if (!alive) return
+            if (now < frozenUntil) return at(frozenUntil - now) { run(block) }
             holder.block()
             for (e in holder.drain()) carryOut(this, e)
         }
@@ -163,7 +174,8 @@
 
     private fun tick(core: Core) {
         if (!core.alive) return
-        if (core === holder && !state.down && !core.cutOff) core.holder.leaseUntil(now + LEASE)
+        if (now < core.frozenUntil) return at(core.frozenUntil - now) { tick(core) }
+        if (core === holder && !state.down && !core.cutOff) core.holder.leaseUntil(now + LEASE, now)
         core.run { tick(now) }
         at(100) { tick(core) }
     }
--- a/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
@@ -19,9 +19,10 @@
 class HttpClient(private val connections: Connections, private val address: String, bodyLimit: Int = 4 * 1024 * 1024) {
     private val limits = HttpLimits(body = bodyLimit)
 
-    suspend fun send(method: String, path: String, body: ByteArray = Response.NO_BODY, timeoutMs: Long): Response =
+    /** [still] is asked when there is a connection, just before anything is sent: what was decided may be over by then. */
+    suspend fun send(method: String, path: String, body: ByteArray = Response.NO_BODY, timeoutMs: Long, still: () -> Boolean = { true }): Response =
         try {
-            withTimeout(timeoutMs) { exchange(Request(method, path, body)) }
+            withTimeout(timeoutMs) { exchange(Request(method, path, body), still) }
         } catch (e: TimeoutCancellationException) {
             throw NoAnswerException("no answer from $address within $timeoutMs ms", e)
         } catch (e: NoAnswerException) {
@@ -30,10 +31,11 @@
             throw NoAnswerException("no answer from $address: ${e.message}", e)
         }
 
-    private suspend fun exchange(request: Request): Response {
+    private suspend fun exchange(request: Request, still: () -> Boolean): Response {
         val channel = connections.take(address)
         var done = false
         try {
+            if (!still()) throw NoAnswerException("not sent to $address: it is over")
             channel.awaitWrite(HttpWriter.request(address, request))
             val message = read(channel)
             val status = message.start[1].toIntOrNull() ?: throw IOException("bad status")
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -20,6 +20,7 @@
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
+import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.emulator.Setup
 import org.honeyjunction.emulator.World
 import org.honeyjunction.wire.Json
@@ -45,7 +46,7 @@
     private fun holder() = Holder(
         Setup().cluster(), Tuning(), term, "n",
         Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), listOf(page), listOf(hint)), 0, 0, 4000,
-    ).also { it.leaseUntil(Long.MAX_VALUE) }
+    ).also { it.leaseUntil(Long.MAX_VALUE, 0) }
 
     private fun report(session: Long, sequence: Long, withToken: Long, vararg tasks: ReportedTask) =
         Report("vm-1", "10.1.0.1:1", "t4", "x", false, session, sequence, withToken, null, tasks.asList())
@@ -129,7 +130,7 @@
     fun `a machine past its lease`(name: String, othersHeard: Boolean, leaseUntil: Long, seconds: Long, released: Int) {
         val h = holder()
         h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
-        h.leaseUntil(leaseUntil)
+        h.leaseUntil(leaseUntil, 10)
         for (i in 1L..seconds) {
             if (othersHeard) h.hello(report(1, i, token).copy(machine = "vm-2"), i * 1000)
             h.tick(i * 1000)
@@ -180,12 +181,43 @@
     fun `nothing is started once the lease of the term may be over`() {
         val h = holder()
         h.hello(report(1, 5, token), 10)
-        h.leaseUntil(20)
+        h.leaseUntil(20, 10)
         h.tick(600)
         h.drain().filterIsInstance<Effect.Commit>().forEach { h.committed(it.id, CommitOutcome.Applied(10), 700) }
         assertEquals(emptyList<Effect>(), h.drain().filter { it is Effect.Send && it.commands.isNotEmpty() })
-        h.leaseUntil(5_000)
+        h.leaseUntil(5_000, 700)
         h.tick(800)
         assertEquals(2, h.drain().filterIsInstance<Effect.Send>().sumOf { it.commands.size })
     }
+
+    /** Guards the one door: whatever a woken holder hears first, it acts on none of it before the state service has spoken. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("a report comes first", "its clockwork comes first", "a write is answered first", "a command is answered first", "a cancellation comes first", "a peer proposes first")
+    fun `a holder that wakes past its lease keeps workers' leases alive and does nothing else`(first: String) {
+        val h = holder()
+        h.hello(report(1, 5, token), 10)
+        h.hello(report(1, 6, token).copy(machine = "vm-2"), 10)
+        for (t in 100L..1_000L step 100) h.tick(t)
+        val before = h.drain()
+        val write = before.filterIsInstance<Effect.Commit>().first()
+        h.leaseUntil(5_000, 1_000)
+        val now = 14_000L
+        when (first) {
+            "a report comes first" -> assertEquals(token, h.hello(report(1, 7, token), now)!!.token)
+            "its clockwork comes first" -> h.tick(now)
+            "a write is answered first" -> h.committed(write.id, CommitOutcome.Applied(10), now)
+            "a command is answered first" -> h.commandExecuted(99, report(1, 8, token), now)
+            "a cancellation comes first" -> h.cancel("j-1", now)
+            else -> assertEquals(listOf(false), h.propose(listOf(Proposal(h.state.job("j-1")!!.index, 0, 0)), now))
+        }
+        h.hello(report(1, 9, token), now + 10)
+        h.tick(now + 20)
+        assertEquals(emptyList<Effect>(), h.drain().filter { it !is Effect.Tell }, first)
+        assertEquals(false, h.mayAct(now + 30, withinLease = false))
+        assertTrue(h.hello(report(1, 10, token), now + 40) != null, "workers are answered")
+        assertEquals(emptyList<Effect>(), h.drain().filter { it is Effect.Tell && "LOST" in it.what })
+        h.leaseUntil(now + 5_000, now + 50)
+        for (t in 100L..1_000L step 100) h.tick(now + t)
+        assertTrue(h.drain().any { it is Effect.Commit }, "it goes on once the lease is known to be renewed")
+    }
 }
--- a/src/test/kotlin/org/honeyjunction/sim/OverloadTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/OverloadTest.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Priority
 import org.honeyjunction.emulator.Setup
 import org.honeyjunction.emulator.World
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -39,4 +40,31 @@
         assertEquals(emptyList<String>(), w.broken)
         assertTrue(jobs.all { w.state.finals[it]?.stage == JobStage.DONE }, "all is done in the end")
     }
+
+    /** Holders that stand still while their clocks run on: shorter than the lease, longer, and with others that fail meanwhile. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "shorter than the term's lease,              4000, false, false", "longer,                                     14000, false, false",
+        "longer than the workers' leases too,        25000, false, false", "for a minute,                               60000, false, false",
+        "while the state service is away,            14000, true,  false", "while machines die and a zone is cut,       14000, false, true",
+    )
+    fun `a holder that stands still`(case: String, forMs: Long, outage: Boolean, machines: Boolean) {
+        val w = World(31, capacity = 60, setup = Setup(limits = mapOf("a" to 240.0, "b" to 240.0)))
+        w.elect()
+        val services = (1..8).map { w.submit(it, JobKind.SERVICE, 4, "a", spread = true, priority = Priority.PRODUCTION) }
+        val jobs = (11..30).map { w.submit(it, JobKind.ARRAY, 6, "b", seconds = 15.0, checkpoint = 5.0) }
+        w.run(30_000)
+        w.state.down = outage
+        w.freeze(forMs)
+        if (machines) {
+            w.workers.values.take(3).forEach { it.dead = true }
+            w.cut("x", 16_000)
+        }
+        w.run(forMs + 100)
+        w.state.down = false
+        w.run(100_000)
+        assertEquals(emptyList<String>(), w.broken)
+        assertEquals(services.associateWith { 4 }, services.associateWith { w.running(it) }, case)
+        assertTrue(jobs.all { w.state.finals[it]?.stage == JobStage.DONE }, case)
+    }
 }
