Production too waits for a fetch under way unless its own is half as long

Cause: replicas of several images that start together on one machine share its rate, so that all of them are late; on a site that fetches 0.1 GB a second fifty machines fetched two to four images at once in the first minute. Change: the rule for other work holds for production, bounded by the time that the first fetch should take. The census tells how many images machines fetch at once.

--- a/src/main/kotlin/org/honeyjunction/core/control/Census.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Census.kt
@@ -18,6 +18,8 @@
     val empty = up.count { it.placements.isEmpty() }
     val free = up.sumOf { room(it).gpus }
     val waiting = JobKind.entries.associateWith { kind -> active.values.filter { it.spec.kind == kind }.sumOf { it.waiting.cardinality() } }
+    // Images that are fetched at the same time share a machine's rate.
+    val fetches = machines.map { m -> m.placements.values.filter { it.phase == Phase.FETCHING }.distinctBy { it.task.job.image }.size }.filter { it > 0 }.groupingBy { it }.eachCount().toSortedMap()
     return "machines ${phases.toSortedMap()} (spot ${machines.count { it.spot }}), $empty empty, accelerators free $free, in use $kinds, " +
-        "waiting $waiting, jobs ${active.size}"
+        "fetching images at once $fetches, waiting $waiting, jobs ${active.size}"
 }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -73,9 +73,14 @@
 
     /**
      * Images fetched at the same time share a machine's rate: a second fetch would be ready no sooner than if it began
-     * after the first, and would only delay that one. Production does not wait behind others' fetches.
+     * after the first, and would only delay that one. Production waits too, unless its own fetch is so much shorter that
+     * both together are ready sooner on average: with r left of the first and y of its own, 3y + r against 2r + y. It has
+     * waited enough when the first fetch should have ended.
      */
-    fun fetchesAfter(room: Room) = gangOf == 0 && priority < Priority.PRODUCTION && room.fetchingGb > 0 && image !in room.images
+    fun fetchesAfter(room: Room): Boolean {
+        if (gangOf > 0 || room.fetchingGb <= 0 || image in room.images) return false
+        return priority < Priority.PRODUCTION || 2 * imageGb > room.fetchingGb && waitingMs / 1000.0 * room.fetchGbPerS < room.fetchingGb
+    }
 
     /** Whether wherever this could start, [other], which asks for no more, could start too. */
     fun noEasierThan(other: Row): Boolean = other.shape == shape && other.mates == mates && priority <= other.priority && gangOf >= other.gangOf &&
--- a/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTest.kt
@@ -119,6 +119,17 @@
         assertEquals(mapOf((1 to 0) to 0), placed(summary(listOf(fetching), row(1, image = 1), row(2, image = 2))))
     }
 
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "a replica waits for a fetch that is nearly done,        4.0,  0,     false",
+        "but not for one of more than twice its own length,      10.5, 0,     true",
+        "nor when it has waited for as long as it should take,   4.0,  41000, true",
+    )
+    fun `production beside a fetch`(name: String, leftGb: Double, waitingMs: Long, placed: Boolean) {
+        val fetching = Room(0, gpus(3), 0, 0, false, intArrayOf(1), fetchingGb = leftGb, fetchGbPerS = 0.1)
+        assertEquals(placed, (2 to 0) in placed(summary(listOf(fetching), row(2, image = 2, priority = Priority.PRODUCTION, waitingMs = waitingMs))), name)
+    }
+
     @Test
     fun `tasks of one image come to lie on one machine, since one fetch serves them all`() {
         val rows = (0 until 8).map { row(it % 2 + 1, it, image = it % 2) }
