Errors of jobs are told apart from errors of machines, by evidence

Need: jobs that were submitted with a mistake fail on every machine until their users cancel them. Each cost two machines, which were drained and returned, or stood half empty for ever with replicas on them and kept consolidation from its work; and one faulty machine with several tasks of a sound job made that job pause for seconds.

Change: core.blame with named states for jobs (UNTRIED, SOUND, SUSPECT, FAILING) and machines (SOUND, HELD, FAULTY). A failing job is tried one task at a time after growing pauses, after all others; nothing is rented or stopped for it. It survives a takeover (b/failing), and explain says on how many machines it failed, since when, and when it is tried next.

--- a/src/main/kotlin/org/honeyjunction/app/Keys.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Keys.kt
@@ -15,6 +15,9 @@
     const val PAGES = "l/"
     const val HINTS = "h/"
 
+    /** Which jobs fail wherever they are tried. */
+    const val MARKS = "b/failing"
+
     /** Which rules are in force; its parts are named by the hash of all of them together. */
     const val RULES = "rules"
     const val RULE_PARTS = "r/"
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -291,7 +291,8 @@
         // Tasks of finished and cancelled jobs may still be on a machine, and count for their team.
         val missing = pages.flatMap { p -> p.starts.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
         missing.mapNotNullTo(stored) { finalJob(it) }
-        return Recovered(stored, pages, hints) to revision
+        val marks = state.get(Keys.MARKS).value?.let { v -> readable { StateCodec.marks(v) } }.orEmpty()
+        return Recovered(stored, pages, hints, marks) to revision
     }
 
     private fun page(e: Entry): PageRecord? {
--- a/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.blame.Blame
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
@@ -34,7 +35,7 @@
 )
 
 /** Remembers for a while why tasks were placed where they are, and tells why others wait. Bounded in time and number. */
-class Explainer(private val state: ClusterState, private val queue: Queue) {
+class Explainer(private val state: ClusterState, private val queue: Queue, private val blame: Blame) {
     private class Kept(val at: Long, val explanation: Explanation)
 
     private val kept = object : LinkedHashMap<String, Kept>() {
@@ -126,7 +127,10 @@
         val job = task.job
         val reasons = ArrayList<String>()
         if (!job.startable) reasons += "the job is being closed"
-        if (job.notBefore > now) reasons += "after a failure or refusal it is not started for another ${(job.notBefore - now) / 1000.0} s"
+        blame.failures(job.index)?.let { (machines, since) ->
+            reasons += "failed on $machines machines since ${(now - since) / 1000} s ago" + (if (job.failing) ", wherever it was tried: its user has to mend or cancel it" else "") +
+                if (job.notBefore > now) ", next try in ${(job.notBefore - now) / 1000.0} s" else ""
+        } ?: run { if (job.notBefore > now) reasons += "after a failure or refusal it is not started for another ${(job.notBefore - now) / 1000.0} s" }
         if (job.spec.kind == JobKind.GANG && job.placements.isNotEmpty()) reasons += "tasks of an earlier attempt are not known to be gone"
         val team = state.cluster.teams[job.team]
         val need = if (job.spec.kind == JobKind.GANG) job.spec.need * job.unfinished else job.spec.need
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -118,7 +118,7 @@
         val bins = bins(now)
         val byZone = state.machines.filter { it.phase <= MachinePhase.QUIET }.groupingBy { it.zone }.eachCount()
         val plan = Planner(state.cluster.types, rentRules()) { now < refusedUntil.getOrDefault(it, 0L) || outOfReach(it) }
-            .plan(queue.demands(now), expected(now), bins, byZone)
+            .plan(queue.demands(now) { !it.failing }, expected(now), bins, byZone)
         unmet = plan
         plan.held.forEach { (machine, job) -> state.machineAt(machine)?.hold(job, now + HOLD_PERIODS * state.tuning.capacityMs) }
         plan.rent.forEach { (offer, count) -> rent(offer, count.coerceAtMost(MAX_RENT), now) }
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.blame.Blame
+import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Names
@@ -8,7 +10,10 @@
  * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
  * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
  */
-class Hints(private val state: ClusterState, private val wallOffset: Long) {
+class Hints(private val state: ClusterState, private val blame: Blame, private val wallOffset: Long) {
+    private var marked = blame.version
+    private var nextMarksAt = Long.MIN_VALUE
+
     private var pages = 0
     private var next = 0
     private var nextAt = Long.MIN_VALUE
@@ -16,7 +21,9 @@
     private val written = HashMap<Int, List<MachineHint>>()
 
     fun step(now: Long) {
-        if (busy || now < nextAt || now >= state.leaseValidUntil) return
+        if (busy || now >= state.leaseValidUntil) return
+        if (blame.version != marked && now >= nextMarksAt) return mark(now)
+        if (now < nextAt) return
         nextAt = now + state.cluster.pageGapMs * GAPS
         val known = state.machines.filter { it.phase in KNOWN && it.address != null && it.type != Names.ABSENT }
         val perPage = maxOf(1, state.cluster.pageBytes / MACHINE_BYTES)
@@ -32,6 +39,16 @@
         }
     }
 
+    private fun mark(now: Long) {
+        nextMarksAt = now + MARKS_MS
+        val version = blame.version
+        busy = true
+        state.commit(listOf(Change.Marks(blame.marks(wallOffset) { state.jobAt(it)?.takeIf(Job::startable)?.spec?.id }))) { outcome ->
+            busy = false
+            if (outcome is CommitOutcome.Applied) marked = version
+        }
+    }
+
     private fun hint(m: Machine, now: Long) = MachineHint(
         m.name, m.address, state.cluster.typeNames.name(m.type), state.cluster.zones.name(m.zone), m.spot, m.lease.session,
         m.images.entries.toList().takeLast(MAX_IMAGES).associate { (image, gb) -> state.cluster.images.name(image) to gb },
@@ -42,6 +59,8 @@
     private companion object {
         /** A page of hints for so many pages of the ledger at most. */
         const val GAPS = 8
+        const val MARKS_MS = 4_000L
+
         /** Those that are silent too: a later holder must know of them. */
         val KNOWN = setOf(MachinePhase.UNHEARD, MachinePhase.UP, MachinePhase.QUIET, MachinePhase.LOST)
         const val MACHINE_BYTES = 500
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -1,5 +1,8 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.blame.Blame
+import org.honeyjunction.core.blame.JobMark
+import org.honeyjunction.core.blame.MachineHealth
 import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.evidence.TermDoor
 import org.honeyjunction.core.model.Cluster
@@ -21,7 +24,7 @@
 class JobStatus(val stage: JobStage, val done: Int, val running: Int)
 
 /** What the state service knew when the term began. */
-class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>)
+class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>, val marks: List<JobMark> = emptyList())
 
 /**
  * The holder of a term: the machine controller of all machines. Events and the time go in, effects come out; it does
@@ -40,15 +43,16 @@
 ) {
     val state = ClusterState(cluster, tuning, term, startedAt).apply { use(rules) }
     private val ledger = Ledger(state)
-    private val lifecycle = Lifecycle(state, ledger)
+    private val blame = Blame()
+    private val lifecycle = Lifecycle(state, ledger, blame)
     private val reports = Reports(state, lifecycle)
     private val zones = Zones(state, startedAt)
     private val queue = Queue(state)
 
     /** Only where rules are switched on: it costs memory, and time with each start. */
-    private val explainer = if (tuning.rules) Explainer(state, queue) else null
+    private val explainer = if (tuning.rules) Explainer(state, queue, blame) else null
     private val starts = Starts(state, ledger, explainer)
-    private val hints = Hints(state, wallNow - startedAt)
+    private val hints = Hints(state, blame, wallNow - startedAt)
     private val silence = Silence(state, queue, zones)
     private val conservation = Conservation(state, queue)
     private val fleet = Fleet(state, queue, silence, zones, startedAt, listLagMs)
@@ -71,6 +75,7 @@
         val results = recovered.pages.associateWith { page -> page.done.flatMap { (id, numbers) -> tasks(id, numbers) } }
         results.values.flatten().forEach(lifecycle::restore)
         results.forEach { (page, done) -> ledger.restore(page.page, page.version, page.starts.mapNotNull { recover(it, startedAt) }, done) }
+        recovered.marks.forEach { recover(it, startedAt, wallNow) }
         state.active.values.forEach { fleet.noteArrival(it, startedAt) }
     }
 
@@ -86,6 +91,12 @@
         hint.images.forEach { (name, gb) -> machine.images[state.cluster.images.index(name)] = gb }
     }
 
+    private fun recover(mark: JobMark, now: Long, wallNow: Long) {
+        val job = state.job(mark.job)?.takeIf { it.startable } ?: return
+        job.notBefore = now + blame.restore(job.index, mark, wallNow - now)
+        job.failing = mark.failing
+    }
+
     private fun recover(start: RecordedStart, now: Long): Placement? {
         val task = state.job(start.job)?.tasks?.getOrNull(start.number) ?: return null
         if (task.doneDurable) return null
@@ -98,7 +109,7 @@
         return placement
     }
 
-    fun census() = "${state.census()}; ${ledger.census()}; ${conservation.census(state.now)}"
+    fun census() = "${state.census()}; ${ledger.census()}; ${conservation.census(state.now)}; ${blame.census(state.now)}"
 
     /** What waits beside room that it may use, for longer than it should. */
     fun stalled(now: Long): List<Stalled> = conservation.stalled(now)
@@ -284,6 +295,8 @@
             nextPreemptionAt = now + PREEMPTION_MS
             makingRoom.preempt(now)
         }
+        blame.retain { state.machineAt(it) != null }
+        state.machines.forEach { if (it.held && blame.machineHealth(it.index, now) == MachineHealth.SOUND) it.held = false }
         conservation.step(now)
         hints.step(now)
         state.forgetParted(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -1,20 +1,28 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.blame.Blame
+import org.honeyjunction.core.blame.MachineHealth
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.model.Task
 
 /** What the end of a task means: durable results, finished and cancelled jobs, failures. */
-class Lifecycle(private val state: ClusterState, private val ledger: Ledger) {
+class Lifecycle(private val state: ClusterState, private val ledger: Ledger, private val blame: Blame) {
     /** Jobs whose final record is to be written. */
     private val closable = LinkedHashSet<Job>()
 
-    fun taskDone(task: Task) {
+    /** [on]: the machine on which it did its work, where that is known. */
+    fun taskDone(task: Task, on: Machine?, now: Long) {
         val job = task.job
+        if (on != null) {
+            judge(blame.succeeded(job.index, on.index, now))
+            job.failing = false
+        }
         // The tasks of a gang complete together: one result is the result of all.
         val finished = if (job.spec.kind == JobKind.GANG) job.tasks.asList() else listOf(task)
         finished.filter(job::finish).forEach(ledger::add)
@@ -57,6 +65,7 @@
 
     private fun over(job: Job, cancelled: Boolean, now: Long) {
         job.enter(if (cancelled) JobStage.CANCELLED else JobStage.DONE)
+        judge(blame.jobOver(job.index, now))
         state.over(job, now)
         if (!cancelled) job.tasks.forEach { it.doneDurable = true }
         job.placements.toList().forEach { it.askToStop(0.0) }
@@ -65,20 +74,24 @@
 
     fun failed(placement: Placement, now: Long) {
         val job = placement.task.job
-        val machine = placement.machine
-        job.errorMachines += machine.index
-        // Mostly the machine is faulty; but a job that fails on one machine after the other must not cost them all.
-        if (job.errorMachines.size <= SUSPECT_AFTER) {
-            if (machine.phase == MachinePhase.UP) machine.enter(MachinePhase.DRAINING)
-        }
-        job.failures++
-        job.notBefore = now + BACKOFF_MS * (1L shl (job.failures - 1).coerceAtMost(MAX_DOUBLINGS))
+        // A try elsewhere takes a fetch, and as long as this one took to fail.
+        val holdMs = (now - placement.since) * 2 + state.cluster.reportMs * 2 + (job.spec.imageGb / (state.cluster.types[placement.machine.type]?.fetchGbPerS ?: 1.0) * 1000).toLong()
+        val judgement = blame.failed(job.index, placement.task.number, placement.machine.index, now, holdMs)
+        judge(judgement.machines)
+        val failing = blame.failing(job.index)
+        if (failing && !job.failing) state.effects += Effect.Tell("${job.spec.id} failed on ${blame.failures(job.index)?.first} machines: it is tried again one task at a time, and its user has to mend or cancel it")
+        job.failing = failing
+        job.notBefore = now + judgement.pauseMs
     }
 
-    private companion object {
-        const val SUSPECT_AFTER = 2
-        const val BACKOFF_MS = 500L
-        const val MAX_DOUBLINGS = 7
+    private fun judge(health: Map<Int, MachineHealth>) {
+        for ((index, now) in health) {
+            val m = state.machineAt(index) ?: continue
+            m.held = now == MachineHealth.HELD
+            if (now != MachineHealth.FAULTY) continue
+            state.effects += Effect.Tell("${m.name} is faulty: sound jobs fail there, or several")
+            if (m.phase == MachinePhase.UP) m.enter(MachinePhase.DRAINING)
+        }
     }
 }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/MakingRoom.kt
@@ -39,7 +39,7 @@
     }
 
     fun preempt(now: Long) {
-        val demands = queue.demands(now).filter { it.sample.waitingMs >= state.tuning.preemptAfterMs }
+        val demands = queue.demands(now) { !it.failing }.filter { it.sample.waitingMs >= state.tuning.preemptAfterMs }
         if (demands.isEmpty()) return
         val sites = state.machines.filter { it.usable && it.type >= 0 }.map { Site(it, now) }
         val unmet = fleet.unmet?.unmet.orEmpty().mapTo(HashSet()) { it.job }
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.capacity.Offer
 
 enum class Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, NO_ROOM, BUSY, UNKNOWN_JOB }
@@ -62,6 +63,9 @@
     /** What helps a new holder but nobody relies on: where machines are and what they cache. */
     data class Hints(val page: Int, val machines: List<MachineHint>) : Change
 
+    /** Which jobs fail wherever they are tried; a later holder need not find out again. */
+    data class Marks(val jobs: List<JobMark>) : Change
+
     /** Moves the record of the job at [version] to the final ones. */
     data class JobOver(val job: String, val version: Long, val cancelled: Boolean) : Change
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -30,13 +30,15 @@
         val left = HashMap<Int, Resources>()
         return state.active.values
             .filter { !it.waiting.isEmpty && it.startable && it.notBefore <= now && owner(it) }
-            .sortedWith(compareByDescending<Job> { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { late(it, now) }.thenBy { it.createdAt })
+            .sortedWith(compareBy<Job> { it.failing }.thenByDescending { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { late(it, now) }.thenBy { it.createdAt })
             .mapNotNull { demand(it, now, left) }
     }
 
     private fun demand(job: Job, now: Long, left: MutableMap<Int, Resources>): Wanted? {
         val gang = job.spec.kind == JobKind.GANG
-        val waiting = job.waiting.cardinality()
+        // Of a job that fails wherever it is tried, one task at a time is.
+        if (job.failing && job.placements.isNotEmpty()) return null
+        val waiting = if (job.failing && !gang) 1 else job.waiting.cardinality()
         if (gang && waiting < job.unfinished) return null
         val use = left.getOrPut(job.team) { state.usage(job.team) }
         val team = state.cluster.teams[job.team]
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -56,7 +56,7 @@
         val phase = when (val s = said.state) {
             is TaskState.Ended -> {
                 if (known != null && known.attempt != said.attempt) {
-                    if (s.cause == Cause.DONE && job.startable) lifecycle.taskDone(task)
+                    if (s.cause == Cause.DONE && job.startable) lifecycle.taskDone(task, null, now)
                 } else {
                     ended(known, task, s, machine, now)
                 }
@@ -84,9 +84,9 @@
         val job = task.job
         if (known != null) state.remove(known, now)
         when (end.cause) {
-            Cause.DONE -> if (job.stage == JobStage.ACTIVE) lifecycle.taskDone(task)
+            Cause.DONE -> if (job.stage == JobStage.ACTIVE) lifecycle.taskDone(task, machine.takeIf { known != null }, now)
             Cause.ERROR -> if (known != null) lifecycle.failed(known, now)
-            Cause.NO_ROOM, Cause.BUSY, Cause.UNKNOWN_JOB -> if (known != null) job.notBefore = now + REFUSED_MS
+            Cause.NO_ROOM, Cause.BUSY, Cause.UNKNOWN_JOB -> if (known != null) job.notBefore = maxOf(job.notBefore, now + REFUSED_MS)
             Cause.STOPPED, Cause.PEERS, Cause.INCOMPLETE -> Unit
         }
         if (end.cause == Cause.DONE && known != null) {
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -82,9 +82,8 @@
     val placements = LinkedHashSet<Placement>()
     var notBefore = 0L
 
-    /** Machines on which a task of the job failed. */
-    val errorMachines = HashSet<Int>()
-    var failures = 0
+    /** Fails wherever it is tried: one task of it is tried at a time, after all others, and nothing is rented for it. */
+    var failing = false
 
     /** The final record is being written; nothing of the job may be started any more. */
     var closing = false
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -78,7 +78,10 @@
     var endedSaid = 0
 
     /** Whether more may be started here: its reports list all that runs and all that has ended, and are bounded in size. */
-    val takesMore get() = usable && placements.size + endedSaid < MOST_SAID
+    val takesMore get() = usable && !held && placements.size + endedSaid < MOST_SAID
+
+    /** A job failed here that has not been tried elsewhere yet; see core.blame. */
+    var held = false
 
     /** The only way a machine's phase changes. A release is never taken back. */
     fun enter(next: MachinePhase) {
--- a/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.emulator
 
+import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.MachineHint
@@ -15,6 +16,7 @@
     private var revision = 0L
     val jobs = LinkedHashMap<String, StoredJob>()
     val finals = HashMap<String, StoredJob>()
+    private var marks = emptyList<JobMark>()
     private val hints = HashMap<Int, List<MachineHint>>()
     val pages = LinkedHashMap<Int, Pair<PageRecord, Long>>()
 
@@ -28,6 +30,7 @@
             when (c) {
                 is Change.Page -> pages[c.record.page] = c.record.copy(version = revision) to c.write
                 is Change.Hints -> hints[c.page] = c.machines
+                is Change.Marks -> marks = c.jobs
                 is Change.JobOver -> finals[c.job] =
                     jobs.remove(c.job)!!.copy(stage = if (c.cancelled) JobStage.CANCELLED else JobStage.DONE)
             }
@@ -38,7 +41,7 @@
     private fun holds(change: Change) = when (change) {
         is Change.Page -> (pages[change.record.page]?.first?.version ?: 0L) == change.record.version
         is Change.JobOver -> jobs[change.job]?.version == change.version
-        is Change.Hints -> true
+        is Change.Hints, is Change.Marks -> true
     }
 
     /** As the driver does after a write without an answer: a page is read to see which writing of it is there. */
@@ -51,6 +54,6 @@
     fun recovered(): Recovered {
         val records = pages.values.map { it.first }
         val named = records.flatMap { r -> r.starts.map { it.job } }.toSet() - jobs.keys
-        return Recovered(jobs.values + named.mapNotNull(finals::get), records, hints.values.flatten())
+        return Recovered(jobs.values + named.mapNotNull(finals::get), records, hints.values.flatten(), marks)
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Worker.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Worker.kt
@@ -52,6 +52,9 @@
     var hungUntil = 0L
     var cutUntil = 0L
     var noticeS: Double? = null
+
+    /** A machine that is at fault: whatever runs on it fails. */
+    var faulty = false
     var session = 1L
         private set
     private var sequence = 0L
@@ -86,7 +89,7 @@
         for (t in tasks.values) {
             when (t.state) {
                 TaskState.Fetching -> if (t.spec.image in images) ready(t, now)
-                TaskState.Running -> if (!t.gang && t.spec.kind == JobKind.ARRAY && progress(t, now) >= t.work.runS) end(t, if (t.work.fails) Cause.ERROR else Cause.DONE, now)
+                TaskState.Running -> if (!t.gang && t.spec.kind == JobKind.ARRAY && progress(t, now) >= t.work.runS) end(t, if (t.work.fails || faulty) Cause.ERROR else Cause.DONE, now)
                 TaskState.Saving -> if (!t.gang && now >= t.until) end(t, Cause.STOPPED, now, saved = true)
                 TaskState.Gathering, is TaskState.Ended -> Unit
             }
@@ -231,7 +234,8 @@
         }
         val (worker, first) = tasks[0]
         if (whole && tasks.all { it.second.state == TaskState.Running } && worker.progress(first, now) >= first.work.runS) {
-            tasks.forEach { (w, t) -> w.end(t, if (t.work.fails) Cause.ERROR else Cause.DONE, now) }
+            val bad = first.work.fails || tasks.any { it.first.faulty }
+            tasks.forEach { (w, t) -> w.end(t, if (!bad) Cause.DONE else if (first.work.fails || w.faulty) Cause.ERROR else Cause.PEERS, now) }
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
 import com.fasterxml.jackson.databind.util.RawValue
+import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.control.MachineHint
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
@@ -120,6 +121,14 @@
         )
     }
 
+    fun marks(jobs: List<JobMark>): ObjectNode = Json.obj().apply {
+        for (m in jobs) putObject(m.job).put("failing", m.failing).put("tries", m.tries).put("machines", m.machines).put("since", m.sinceWall)
+    }
+
+    fun marks(v: JsonNode): List<JobMark> = v.properties().map { (job, o) ->
+        JobMark(job, o.flag("failing"), o.count("tries").toInt(), o.count("machines").toInt(), o.count("since"))
+    }
+
     private const val START_FIELDS = 4
     private const val MOST_SHOWN = 40
 }
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -15,6 +15,7 @@
     @ParameterizedTest(name = "{0} imports {1}")
     @CsvSource(
         "core.evidence, '',                                         java.util java.lang kotlin",
+        "core.blame,    '',                                         java.util java.lang kotlin",
         "core.results,  '',                                         java.util java.lang kotlin",
         "core.model,    'core.evidence',                            java.util java.lang kotlin org.agrona",
         "core.rules,    'core.model',                               java.util java.lang java.math kotlin",
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/MistakesTest.kt
@@ -0,0 +1,51 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.emulator.Setup
+import org.honeyjunction.emulator.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** Jobs that were submitted with a mistake, and machines at fault, among many that are sound. */
+class MistakesTest {
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // case, bad jobs, bad machines, holder crashes, machines released at most
+        "jobs with a mistake cost no machine,           6, 0, false, 0",
+        "the same over a takeover,                      6, 0, true,  0",
+        "machines at fault are returned,                0, 4, false, 4",
+        "both at once with takeovers,                   6, 4, true,  6",
+    )
+    fun `what is at fault is found`(case: String, badJobs: Int, badMachines: Int, crash: Boolean, released: Int) {
+        val w = World(41, capacity = 60, setup = Setup(limits = mapOf("a" to 240.0, "b" to 240.0)))
+        w.elect()
+        val services = (1..6).map { w.submit(it, JobKind.SERVICE, 4, "a", spread = true, priority = Priority.PRODUCTION) }
+        val first = (10..17).map { w.submit(it, JobKind.ARRAY, 16, "b", seconds = 6.0) }
+        w.run(12_000)
+        w.workers.values.take(badMachines).forEach { it.faulty = true }
+        val bad = (20 until 20 + badJobs).map { w.submit(it, if (it % 2 == 0) JobKind.ARRAY else JobKind.GANG, 4, "b", seconds = 2.0, jobClass = "faulty") }
+        val good = (40..60).map { w.submit(it, if (it % 3 == 0) JobKind.GANG else JobKind.ARRAY, 6, "b", seconds = 5.0, spot = it % 2 == 0) }
+        w.run(10_000)
+        if (crash) {
+            w.crash()
+            w.workers.values.filter { !it.faulty }.drop(5).take(2).forEach { it.hungUntil = w.now + 9_000 }
+            w.run(12_000)
+        }
+        w.run(25_000)
+        // Idle machines are returned after 45 s: what has been given back by now was taken for faulty, or died.
+        assertTrue(w.releases <= released, "$case: ${w.releases} machines were given back")
+        val before = w.started
+        w.run(60_000)
+        assertTrue(w.started - before <= badJobs * 4 * 6, "$case: ${w.started - before} starts in a minute in which only bad jobs were left")
+        assertEquals(emptyList<String>(), (first + good).filter { w.state.finals[it]?.stage != JobStage.DONE }, "$case: unfinished")
+        assertEquals(services.associateWith { 4 }, services.associateWith { w.running(it) }, case)
+        bad.forEach { w.cancel(it) }
+        w.run(40_000)
+        assertTrue(bad.all { w.state.finals[it]?.stage == JobStage.CANCELLED }, case)
+        assertEquals(emptyList<String>(), w.broken)
+    }
+}
