A node that doubts the holder names none to workers

Change: core.evidence.HolderWatch; a holder that has not answered this node for two seconds is not named in a 421, until it answers or another holds the term.

--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -13,6 +13,7 @@
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.control.WriteShares
+import org.honeyjunction.core.evidence.HolderWatch
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.RuleSet
@@ -141,6 +142,8 @@
 
     private var heardPeerAt = clock.steady()
 
+    private val holderWatch = HolderWatch(clock.steady())
+
     private fun hello(r: Request): Response {
         val report = try {
             WorkerCodec.report(r.body)
@@ -154,7 +157,7 @@
         val answer = current?.holder?.hello(report, clock.steady())
         current?.settle()
         if (answer != null) return Response(200, WorkerCodec.answer(answer.token, answer.commands))
-        return Response(421, WorkerCodec.redirect(election.holder.takeIf { it != settings.node }))
+        return Response(421, WorkerCodec.redirect(holderWatch.worthNaming(clock.steady()).takeIf { it != settings.node }))
     }
 
     private suspend fun keepTypes() {
@@ -194,6 +197,7 @@
             try {
                 val term = election.look(mayTake())
                 if (term != null) hold(term)
+                holderWatch.named(election.holder, clock.steady())
                 if (election.holder != null) freeSince = Long.MIN_VALUE
             } catch (e: IOException) {
                 log.debug("election: {}", e.message)
@@ -327,6 +331,7 @@
                 when (val told = peer.ask(ask, tuning.summaryMs + PEER_MS)) {
                     is PeerMessage.Told -> {
                         heardPeerAt = clock.steady()
+                        holderWatch.heard(clock.steady())
                         toldCrowded = told.crowded
                         if (told.certain) toldCertainAt = clock.steady()
                         state.share(told.writesPerS)
