Boot times are learned by kind; machines are late, or given up, by what others did

Need: new machines come up late, at once or never. A machine counted as room for 1.8 nominal boot times and was given up after three, so that on a night on which all take four times as long each was rented for twice and then thrown away.

--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -195,13 +195,13 @@
     private fun condition(change: Change): Condition? = when (change) {
         is Change.Page -> Condition(Keys.page(change.record.page), change.record.version)
         is Change.JobOver -> Condition(Keys.job(change.job), change.version)
-        is Change.Hints, is Change.Marks -> null
+        is Change.Hints, is Change.Learned -> null
     }
 
     private fun writes(change: Change): List<Write> = when (change) {
         is Change.Page -> listOf(Write(Keys.page(change.record.page), StateCodec.page(change.record, change.write)))
         is Change.Hints -> listOf(Write(Keys.hints(change.page), StateCodec.hints(change.machines)))
-        is Change.Marks -> listOf(Write(Keys.MARKS, StateCodec.marks(change.jobs)))
+        is Change.Learned -> listOf(Write(Keys.MARKS, StateCodec.marks(change.marks)))
         is Change.JobOver -> {
             val job = checkNotNull(holder.state.job(change.job))
             val stage = if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
--- a/src/main/kotlin/org/honeyjunction/app/Keys.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Keys.kt
@@ -15,8 +15,8 @@
     const val PAGES = "l/"
     const val HINTS = "h/"
 
-    /** Which jobs fail wherever they are tried. */
-    const val MARKS = "b/failing"
+    /** What a later holder need not find out again: jobs that fail wherever they are tried, and boot times. */
+    const val MARKS = "learned"
 
     /** Which rules are in force; its parts are named by the hash of all of them together. */
     const val RULES = "rules"
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.app.nomad.NomadHolder
 import org.honeyjunction.app.nomad.NomadRegistry
 import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
 import org.honeyjunction.core.control.Stalled
@@ -295,7 +296,7 @@
         // Tasks of finished and cancelled jobs may still be on a machine, and count for their team.
         val missing = pages.flatMap { p -> p.starts.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
         missing.mapNotNullTo(stored) { finalJob(it) }
-        val marks = state.get(Keys.MARKS).value?.let { v -> readable { StateCodec.marks(v) } }.orEmpty()
+        val marks = state.get(Keys.MARKS).value?.let { v -> readable { StateCodec.marks(v) } } ?: Marks()
         return Recovered(stored, pages, hints, marks) to revision
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.boot.Boot
+import org.honeyjunction.core.boot.BootTimes
 import org.honeyjunction.core.capacity.Bin
 import org.honeyjunction.core.capacity.Expected
 import org.honeyjunction.core.capacity.Forecast
@@ -17,7 +19,7 @@
 import org.honeyjunction.core.rules.RuleTable
 
 /** Rents, watches and returns machines. */
-class Fleet(private val state: ClusterState, private val queue: Queue, private val silence: Silence, private val zones: Zones, private val startedAt: Long, private val listLagMs: Long) {
+class Fleet(private val state: ClusterState, private val queue: Queue, private val silence: Silence, private val zones: Zones, private val boots: BootTimes, private val startedAt: Long, private val listLagMs: Long) {
     private class Rental(val offer: Offer, val effect: Effect.Rent, var inFlight: Boolean, var retryAt: Long)
 
     private val rentals = LinkedHashMap<String, Rental>()
@@ -37,9 +39,9 @@
         for (m in state.machines) {
             expire(m, now)
             val type = state.cluster.types[m.type]
-            val bootMs = (type?.bootS ?: DEFAULT_BOOT_S) * 1000
+            val bootMs = ((type?.bootS ?: DEFAULT_BOOT_S) * 1000).toLong()
             val giveUp = when (m.phase) {
-                MachinePhase.BOOTING -> now - m.knownSince > (bootMs * BOOT_PATIENCE).toLong() + listLagMs
+                MachinePhase.BOOTING -> boots.judge(m.kind, m.knownSince, bootMs, listLagMs, now) == Boot.GIVEN_UP
                 MachinePhase.UNHEARD, MachinePhase.UP, MachinePhase.QUIET, MachinePhase.LOST -> silence.givesUp(m, now)
                 MachinePhase.DRAINING -> m.placements.isEmpty() || m.noticeUntil.let { it != null && now > it + state.cluster.leaseMs }
                 MachinePhase.RELEASING, MachinePhase.GONE -> false
@@ -160,7 +162,7 @@
     private fun bins(now: Long): List<Bin> {
         val there = state.machines.filter { m ->
             val type = state.cluster.types[m.type] ?: return@filter false
-            m.usable || m.phase == MachinePhase.BOOTING && now - m.knownSince < type.bootS * 1000 * BOOT_EXPECTED || silence.expectedBack(m, now)
+            m.usable || m.phase == MachinePhase.BOOTING && boots.judge(m.kind, m.knownSince, (type.bootS * 1000).toLong(), listLagMs, now) == Boot.EXPECTED || silence.expectedBack(m, now)
         }.map {
             Bin(it.index, Offer(it.type, it.zone, it.spot), state.room(it), it.placements.isEmpty(), queue.leaving(it, now), state.scene(it), zones.silent(it, now))
         }
@@ -218,8 +220,6 @@
     private companion object {
         val UNSETTLED = setOf(MachinePhase.BOOTING, MachinePhase.UNHEARD, MachinePhase.QUIET, MachinePhase.LOST)
         const val DEFAULT_BOOT_S = 60.0
-        const val BOOT_PATIENCE = 3.0
-        const val BOOT_EXPECTED = 1.8
         const val MAX_RELEASE = 100
         const val MAX_RENT = 50
         const val RETRY_MS = 1_000L
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -1,6 +1,8 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.blame.Blame
+import org.honeyjunction.core.boot.BootMark
+import org.honeyjunction.core.boot.BootTimes
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
@@ -10,9 +12,11 @@
  * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
  * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
  */
-class Hints(private val state: ClusterState, private val blame: Blame, private val wallOffset: Long) {
+class Hints(private val state: ClusterState, private val blame: Blame, private val boots: BootTimes, private val wallOffset: Long) {
     private var marked = blame.version
     private var nextMarksAt = Long.MIN_VALUE
+    private var markedAt = Long.MIN_VALUE / 2
+    private var toldBoots = emptyList<BootMark>()
 
     private var pages = 0
     private var next = 0
@@ -22,7 +26,7 @@
 
     fun step(now: Long) {
         if (busy || now >= state.leaseValidUntil) return
-        if (blame.version != marked && now >= nextMarksAt) return mark(now)
+        if (now >= nextMarksAt && (blame.version != marked || now - markedAt > LEARNED_MS && boots() != toldBoots)) return mark(now)
         if (now < nextAt) return
         nextAt = now + state.cluster.pageGapMs * GAPS
         val known = state.machines.filter { it.phase in KNOWN && it.address != null && it.type != Names.ABSENT }
@@ -39,13 +43,19 @@
         }
     }
 
+    private fun boots() = boots.marks { state.cluster.typeNames.name(it.type) to state.cluster.zones.name(it.zone) }
+
     private fun mark(now: Long) {
         nextMarksAt = now + MARKS_MS
+        markedAt = now
         val version = blame.version
+        val seen = boots()
         busy = true
-        state.commit(listOf(Change.Marks(blame.marks(wallOffset) { state.jobAt(it)?.takeIf(Job::startable)?.spec?.id }))) { outcome ->
+        state.commit(listOf(Change.Learned(Marks(blame.marks(wallOffset) { state.jobAt(it)?.takeIf(Job::startable)?.spec?.id }, seen)))) { outcome ->
             busy = false
-            if (outcome is CommitOutcome.Applied) marked = version
+            if (outcome !is CommitOutcome.Applied) return@commit
+            marked = version
+            toldBoots = seen
         }
     }
 
@@ -61,6 +71,9 @@
         const val GAPS = 8
         const val MARKS_MS = 4_000L
 
+        /** Boot times change little by little. */
+        const val LEARNED_MS = 30_000L
+
         /** Those that are silent too: a later holder must know of them. */
         val KNOWN = setOf(MachinePhase.UNHEARD, MachinePhase.UP, MachinePhase.QUIET, MachinePhase.LOST)
         const val MACHINE_BYTES = 500
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -3,6 +3,8 @@
 import org.honeyjunction.core.blame.Blame
 import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.blame.MachineHealth
+import org.honeyjunction.core.boot.BootTimes
+import org.honeyjunction.core.boot.Kind
 import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.evidence.TermDoor
 import org.honeyjunction.core.model.Cluster
@@ -24,7 +26,7 @@
 class JobStatus(val stage: JobStage, val done: Int, val running: Int)
 
 /** What the state service knew when the term began. */
-class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>, val marks: List<JobMark> = emptyList())
+class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>, val marks: Marks = Marks())
 
 /**
  * The holder of a term: the machine controller of all machines. Events and the time go in, effects come out; it does
@@ -45,17 +47,18 @@
     private val ledger = Ledger(state)
     private val blame = Blame()
     private val lifecycle = Lifecycle(state, ledger, blame)
-    private val reports = Reports(state, lifecycle)
+    private val boots = BootTimes()
+    private val reports = Reports(state, lifecycle, boots)
     private val zones = Zones(state, startedAt)
     private val queue = Queue(state)
 
     /** Only where rules are switched on: it costs memory, and time with each start. */
     private val explainer = if (tuning.rules) Explainer(state, queue, blame) else null
     private val starts = Starts(state, ledger, explainer)
-    private val hints = Hints(state, blame, wallNow - startedAt)
+    private val hints = Hints(state, blame, boots, wallNow - startedAt)
     private val silence = Silence(state, queue, zones)
     private val conservation = Conservation(state, queue)
-    private val fleet = Fleet(state, queue, silence, zones, startedAt, listLagMs)
+    private val fleet = Fleet(state, queue, silence, zones, boots, startedAt, listLagMs)
     private val round = Round(tuning.cost)
     private val heardFrom = HashMap<String, Long>()
     private var nextRoundAt = startedAt
@@ -75,7 +78,11 @@
         val results = recovered.pages.associateWith { page -> page.done.flatMap { (id, numbers) -> tasks(id, numbers) } }
         results.values.flatten().forEach(lifecycle::restore)
         results.forEach { (page, done) -> ledger.restore(page.page, page.version, page.starts.mapNotNull { recover(it, startedAt) }, done) }
-        recovered.marks.forEach { recover(it, startedAt, wallNow) }
+        recovered.marks.jobs.forEach { recover(it, startedAt, wallNow) }
+        for (b in recovered.marks.boots) {
+            val type = state.cluster.typeNames.indexWithin(b.type, Cluster.MOST_TYPES)
+            boots.restore(Kind(type, state.cluster.zones.find(b.zone), b.spot), b, startedAt)
+        }
         state.active.values.forEach { fleet.noteArrival(it, startedAt) }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.blame.JobMark
+import org.honeyjunction.core.boot.BootMark
 import org.honeyjunction.core.capacity.Offer
 
 enum class Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, NO_ROOM, BUSY, UNKNOWN_JOB }
@@ -63,13 +64,16 @@
     /** What helps a new holder but nobody relies on: where machines are and what they cache. */
     data class Hints(val page: Int, val machines: List<MachineHint>) : Change
 
-    /** Which jobs fail wherever they are tried; a later holder need not find out again. */
-    data class Marks(val jobs: List<JobMark>) : Change
+    /** What a later holder need not find out again. */
+    data class Learned(val marks: Marks) : Change
 
     /** Moves the record of the job at [version] to the final ones. */
     data class JobOver(val job: String, val version: Long, val cancelled: Boolean) : Change
 }
 
+/** Which jobs fail wherever they are tried, and how long machines take to boot. */
+data class Marks(val jobs: List<JobMark> = emptyList(), val boots: List<BootMark> = emptyList())
+
 data class MachineHint(
     val name: String,
     val address: String?,
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.boot.BootTimes
 import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.evidence.SessionLease.Finding
 import org.honeyjunction.core.model.JobStage
@@ -10,7 +11,7 @@
 import org.honeyjunction.core.model.Task
 
 /** Takes in what workers say; the only evidence, beside releases and leases, of what is on a machine. */
-class Reports(private val state: ClusterState, private val lifecycle: Lifecycle) {
+class Reports(private val state: ClusterState, private val lifecycle: Lifecycle, private val boots: BootTimes) {
     /** Returns false for a message that is older than what is known already. */
     fun absorb(report: Report, now: Long): Boolean {
         val machine = state.addMachine(report.machine, now)
@@ -23,6 +24,8 @@
             Finding.STALE, Finding.NONE, Finding.OVER -> return false
         }
         machine.lastHeardAt = now
+        // One that is first known by its own word tells nothing of how long it took.
+        if (machine.phase == MachinePhase.BOOTING && machine.knownSince < now) boots.up(machine.kind, machine.knownSince, now)
         if (machine.phase in SILENT) machine.enter(MachinePhase.UP)
         if (machine.placements.isEmpty() && machine.idleSince == Long.MIN_VALUE) machine.idleSince = now
 
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.model
 
+import org.honeyjunction.core.boot.Kind
 import org.honeyjunction.core.evidence.SessionLease
 
 enum class MachinePhase {
@@ -33,6 +34,8 @@
     var zone = Names.ABSENT
     var spot = false
 
+    val kind get() = Kind(type, zone, spot)
+
     /** What it is to the rules in force; below 0: nothing, or not known yet. */
     var place = -1
 
--- a/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
@@ -1,9 +1,9 @@
 package org.honeyjunction.emulator
 
-import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
 import org.honeyjunction.core.control.StoredJob
@@ -16,7 +16,7 @@
     private var revision = 0L
     val jobs = LinkedHashMap<String, StoredJob>()
     val finals = HashMap<String, StoredJob>()
-    private var marks = emptyList<JobMark>()
+    private var marks = Marks()
     private val hints = HashMap<Int, List<MachineHint>>()
     val pages = LinkedHashMap<Int, Pair<PageRecord, Long>>()
 
@@ -30,7 +30,7 @@
             when (c) {
                 is Change.Page -> pages[c.record.page] = c.record.copy(version = revision) to c.write
                 is Change.Hints -> hints[c.page] = c.machines
-                is Change.Marks -> marks = c.jobs
+                is Change.Learned -> marks = c.marks
                 is Change.JobOver -> finals[c.job] =
                     jobs.remove(c.job)!!.copy(stage = if (c.cancelled) JobStage.CANCELLED else JobStage.DONE)
             }
@@ -41,7 +41,7 @@
     private fun holds(change: Change) = when (change) {
         is Change.Page -> (pages[change.record.page]?.first?.version ?: 0L) == change.record.version
         is Change.JobOver -> jobs[change.job]?.version == change.version
-        is Change.Hints, is Change.Marks -> true
+        is Change.Hints, is Change.Learned -> true
     }
 
     /** As the driver does after a write without an answer: a page is read to see which writing of it is there. */
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -76,6 +76,12 @@
     var releases = 0
         private set
 
+    /** What is rented now takes so many times as long to boot; and one in so many never comes up, but is charged. */
+    var bootFactor = 1.0
+    var bootFailsOneIn = 0
+    var neverUp = 0
+        private set
+
     /** Whether connections across a cut are reset, so that nothing is held back. */
     var resets = false
 
@@ -92,6 +98,9 @@
         return workers.values.count { !it.dead } + booting.size - spot to spot
     }
 
+    /** Machines that are paid for and not up. */
+    fun booting(): Int = booting.size
+
     /** The holder reaches neither the state service nor the cloud; it goes on answering those who ask it. */
     fun cutOff() {
         holder?.cutOff = true
@@ -261,7 +270,9 @@
         }
         for (name in names) {
             if (name in workers || name in booting) continue
-            booting[name] = Triple(now + (setup.type.bootS * (600 + random.nextInt(600))).toLong(), e.zone, e.offer.spot)
+            val never = bootFailsOneIn > 0 && random.nextInt(bootFailsOneIn) == 0
+            if (never) neverUp++
+            booting[name] = Triple(if (never) Long.MAX_VALUE else now + (setup.type.bootS * bootFactor * (600 + random.nextInt(600))).toLong(), e.zone, e.offer.spot)
         }
         val lost = random.nextInt(10) == 0
         core.run { if (lost) rentalUnknown(e.request, now) else if (names.isEmpty()) rentalRefused(e.request, now) else rented(e.request, names, now) }
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode
 import com.fasterxml.jackson.databind.util.RawValue
 import org.honeyjunction.core.blame.JobMark
+import org.honeyjunction.core.boot.BootMark
 import org.honeyjunction.core.control.MachineHint
+import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
 import org.honeyjunction.core.results.TaskNumbers
@@ -121,13 +123,17 @@
         )
     }
 
-    fun marks(jobs: List<JobMark>): ObjectNode = Json.obj().apply {
-        for (m in jobs) putObject(m.job).put("failing", m.failing).put("tries", m.tries).put("machines", m.machines).put("since", m.sinceWall)
+    fun marks(m: Marks): ObjectNode = Json.obj().apply {
+        val jobs = putObject("jobs")
+        for (j in m.jobs) jobs.putObject(j.job).put("failing", j.failing).put("tries", j.tries).put("machines", j.machines).put("since", j.sinceWall)
+        val boots = putArray("boots")
+        for (b in m.boots) boots.addObject().put("type", b.type).put("zone", b.zone).put("spot", b.spot).put("count", b.count).put("median", b.medianMs).put("late", b.lateMs)
     }
 
-    fun marks(v: JsonNode): List<JobMark> = v.properties().map { (job, o) ->
-        JobMark(job, o.flag("failing"), o.count("tries").toInt(), o.count("machines").toInt(), o.count("since"))
-    }
+    fun marks(v: JsonNode) = Marks(
+        v.given("jobs")?.properties().orEmpty().map { (job, o) -> JobMark(job, o.flag("failing"), o.count("tries").toInt(), o.count("machines").toInt(), o.count("since")) },
+        v.listOrEmpty("boots").map { BootMark(it.text("type"), it.text("zone"), it.flag("spot"), it.count("count").toInt(), it.count("median"), it.count("late")) },
+    )
 
     private const val START_FIELDS = 4
     private const val MOST_SHOWN = 40
