The served share of each class and team is kept, told and watched

Change: core.served. Of the jobs that have had four boot times to start, how many have, by class and by team; jobs that are over are handed to later holders (key learned), the others counted anew. Those under half stand in the census, explain tells a job's class and team, and the emulator and local end with status 1 where one is under half beside free machines.

--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -18,6 +18,8 @@
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.RuleSet
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Tally
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.io.Loop
@@ -87,6 +89,9 @@
     /** What waits beside free machines for longer than it should, as the holder of the term counts it. */
     val stalled: List<Stalled> get() = driver?.takeIf { it.certain }?.holder?.stalled(clock.steady()).orEmpty()
 
+    /** Classes and teams of which less than half were served beside free machines, as the holder of the term counts them. */
+    val starved: Map<Group, Tally> get() = driver?.takeIf { it.certain }?.holder?.starved(clock.steady()).orEmpty()
+
     /** How long the state service has not answered this node, in milliseconds; 0 while it does. */
     val outageMs: Long get() = if (stateSilent) clock.steady() - election.contactAt else 0
     val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -6,6 +6,8 @@
 import org.honeyjunction.app.Node
 import org.honeyjunction.app.Settings
 import org.honeyjunction.core.control.Stalled
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Tally
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Loop
@@ -46,6 +48,11 @@
     fun up(number: Int) = running[number] != null
 
     /** What the holder's watch on work conservation says now; nothing of those that do not answer at once. */
+    /** Classes and teams of which less than half were served beside free machines. */
+    suspend fun starved(): Map<Group, Tally> = running.filterNotNull().map { r ->
+        withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.starved }.await() }.orEmpty()
+    }.fold(emptyMap()) { all, some -> all + some }
+
     suspend fun stalled(): List<Stalled> = running.filterNotNull().flatMap { r ->
         withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.stalled }.await() }.orEmpty()
     }
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
@@ -157,6 +157,7 @@
             if (cluster.loopback.now() >= nextStatus) {
                 nextStatus = cluster.loopback.now() + STATUS_MS
                 ticker.show(cluster.status())
+                cluster.controllers.starved().forEach { (group, t) -> cluster.loopback.watch.note(cluster.loopback.now(), "starved: of $group only ${t.started} of ${t.accepted} jobs were started beside free machines") }
                 val stalled = cluster.controllers.stalled().filter { it.obstacle == Obstacle.NONE }
                 stalled.forEach { cluster.loopback.watch.note(cluster.loopback.now(), "work conservation: ${it.tasks} tasks of ${it.job} wait beside free machines") }
             }
--- a/src/main/kotlin/org/honeyjunction/core/blame/Blame.kt
+++ b/src/main/kotlin/org/honeyjunction/core/blame/Blame.kt
@@ -200,7 +200,7 @@
         const val CHARGES = 2
 
         /** What a later holder is told of: more would be no hint but a burden. */
-        const val MOST_MARKS = 40
+        const val MOST_MARKS = 20
         private const val FIRST_PAUSE_MS = 500L
         private const val MOST_DOUBLINGS = 10
         private const val TOGETHER_MS = 400L
--- a/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
+++ b/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
@@ -84,7 +84,7 @@
         seen.turnedAt = now
     }
 
-    fun marks(nameOf: (Kind) -> Pair<String, String>): List<BootMark> = kinds.map { (kind, seen) ->
+    fun marks(nameOf: (Kind) -> Pair<String, String>): List<BootMark> = kinds.entries.sortedByDescending { it.value.count }.take(MOST_MARKS).map { (kind, seen) ->
         val (type, zone) = nameOf(kind)
         BootMark(type, zone, kind.spot, seen.count.coerceAtMost(ENOUGH.toLong()).toInt(), quantile(seen, 50.0), quantile(seen, LATE_QUANTILE))
     }
@@ -113,6 +113,7 @@
         private const val NOMINAL_LATE = 1.8
         private const val ENOUGH = 20
         private const val HOPELESS = 6
+        private const val MOST_MARKS = 12
         private const val PATIENCE = 2
         private const val KEPT = 64
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
@@ -59,13 +59,13 @@
     }
 
     /** Null: it was placed too long ago, or is over. */
-    fun explain(task: Task, now: Long, beside: String?): Explanation? {
+    fun explain(task: Task, now: Long, beside: List<String>): Explanation? {
         step(now)
         val over = task.done || task.job.stage != JobStage.ACTIVE
         kept[task.id]?.let { if (over || task.placements.any { p -> p.machine.name == it.explanation.machine }) return it.explanation }
         if (over) return null
         val there = task.placements.firstOrNull() ?: return Explanation(
-            task.id, null, null, state.book.set.version, emptyList(), fairness(task.job), 0.0, null, waits(task, now) + listOfNotNull(beside),
+            task.id, null, null, state.book.set.version, emptyList(), fairness(task.job), 0.0, null, waits(task, now) + beside,
         )
         return explain(task, there.machine, null, 0.0)
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -7,16 +7,20 @@
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 import org.honeyjunction.core.model.Names
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Served
+import org.honeyjunction.core.served.Tally
 
 /**
  * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
  * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
  */
-class Hints(private val state: ClusterState, private val blame: Blame, private val boots: BootTimes, private val wallOffset: Long) {
+class Hints(private val state: ClusterState, private val blame: Blame, private val boots: BootTimes, private val served: Served, private val wallOffset: Long) {
     private var marked = blame.version
     private var nextMarksAt = Long.MIN_VALUE
     private var markedAt = Long.MIN_VALUE / 2
     private var toldBoots = emptyList<BootMark>()
+    private var toldServed = emptyMap<Group, Tally>()
 
     private var pages = 0
     private var next = 0
@@ -26,7 +30,7 @@
 
     fun step(now: Long) {
         if (busy || now >= state.leaseValidUntil) return
-        if (now >= nextMarksAt && (blame.version != marked || now - markedAt > LEARNED_MS && boots() != toldBoots)) return mark(now)
+        if (now >= nextMarksAt && (blame.version != marked || now - markedAt > LEARNED_MS && (boots() != toldBoots || served.marks() != toldServed))) return mark(now)
         if (now < nextAt) return
         nextAt = now + state.cluster.pageGapMs * GAPS
         val known = state.machines.filter { it.phase in KNOWN && it.address != null && it.type != Names.ABSENT }
@@ -50,12 +54,14 @@
         markedAt = now
         val version = blame.version
         val seen = boots()
+        val shares = served.marks()
         busy = true
-        state.commit(listOf(Change.Learned(Marks(blame.marks(wallOffset) { state.jobAt(it)?.takeIf(Job::startable)?.spec?.id }, seen)))) { outcome ->
+        state.commit(listOf(Change.Learned(Marks(blame.marks(wallOffset) { state.jobAt(it)?.takeIf(Job::startable)?.spec?.id }, seen, shares)))) { outcome ->
             busy = false
             if (outcome !is CommitOutcome.Applied) return@commit
             marked = version
             toldBoots = seen
+            toldServed = shares
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -19,6 +19,9 @@
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.Rule
 import org.honeyjunction.core.rules.RuleSet
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Served
+import org.honeyjunction.core.served.Tally
 import java.util.BitSet
 
 class HelloAnswer(val token: Long, val commands: List<Command>)
@@ -46,7 +49,8 @@
     val state = ClusterState(cluster, tuning, term, startedAt).apply { use(rules) }
     private val ledger = Ledger(state)
     private val blame = Blame()
-    private val lifecycle = Lifecycle(state, ledger, blame)
+    private val served = Served(SERVE_WITHIN_BOOTS * (cluster.types.values.maxOfOrNull { it.bootS * 1000 } ?: DEFAULT_BOOT_MS).toLong())
+    private val lifecycle = Lifecycle(state, ledger, blame, served)
     private val boots = BootTimes()
     private val reports = Reports(state, lifecycle, boots)
     private val zones = Zones(state, startedAt)
@@ -55,7 +59,7 @@
     /** Only where rules are switched on: it costs memory, and time with each start. */
     private val explainer = if (tuning.rules) Explainer(state, queue, blame) else null
     private val starts = Starts(state, ledger, explainer)
-    private val hints = Hints(state, blame, boots, wallNow - startedAt)
+    private val hints = Hints(state, blame, boots, served, wallNow - startedAt)
     private val silence = Silence(state, queue, zones)
     private val conservation = Conservation(state, queue)
     private val fleet = Fleet(state, queue, silence, zones, boots, startedAt, listLagMs)
@@ -79,6 +83,7 @@
         results.values.flatten().forEach(lifecycle::restore)
         results.forEach { (page, done) -> ledger.restore(page.page, page.version, page.starts.mapNotNull { recover(it, startedAt) }, done) }
         recovered.marks.jobs.forEach { recover(it, startedAt, wallNow) }
+        served.restore(recovered.marks.served)
         for (b in recovered.marks.boots) {
             val type = state.cluster.typeNames.indexWithin(b.type, Cluster.MOST_TYPES)
             boots.restore(Kind(type, state.cluster.zones.find(b.zone), b.spot), b, startedAt)
@@ -116,7 +121,20 @@
         return placement
     }
 
-    fun census() = "${state.census()}; ${ledger.census()}; ${conservation.census(state.now)}; ${blame.census(state.now)}"
+    fun census() = "${state.census()}; ${ledger.census()}; ${conservation.census(state.now)}; ${blame.census(state.now)}; under half served ${unserved()}"
+
+    /** Of each class and team, how many of the jobs that have had time to start have done so. */
+    fun served(now: Long): Map<Group, Tally> = served.tallies(state.active.values.asSequence().map { it.counted(now) })
+
+    /** Classes and teams of which less than half were served, though machines have had room for what waits of them for a while. */
+    fun starved(now: Long): Map<Group, Tally> {
+        val beside = conservation.stalled(now).filter { it.obstacle == Obstacle.NONE }.mapNotNull { state.job(it.job) }
+        return served(now).filter { (group, tally) ->
+            tally.starved && beside.any { group == Group(Group.Of.CLASS, it.spec.jobClass) || group == Group(Group.Of.TEAM, it.spec.team) }
+        }
+    }
+
+    private fun unserved() = served(state.now).filter { it.value.starved }.map { (group, t) -> "$group ${t.started} of ${t.accepted}" }
 
     /** What waits beside room that it may use, for longer than it should. */
     fun stalled(now: Long): List<Stalled> = conservation.stalled(now)
@@ -244,7 +262,10 @@
         val job = state.job(id)
         if (job == null) return (first until first + most).mapNotNull { e.remembered("$id/$it", now) }.ifEmpty { null }
         val beside = conservation.of(job, now)?.let { "free machines have had room for it for ${(now - it.sinceMs) / 1000} s: ${it.obstacle.what}" }
-        return (first until minOf(job.tasks.size, first + most)).mapNotNull { e.explain(job.tasks[it], now, beside) }
+        val share = served(now).let { all ->
+            listOf(Group(Group.Of.CLASS, job.spec.jobClass), Group(Group.Of.TEAM, job.spec.team)).mapNotNull { g -> all[g]?.let { "of $g ${it.started} of ${it.accepted} jobs have been started" } }
+        }
+        return (first until minOf(job.tasks.size, first + most)).mapNotNull { e.explain(job.tasks[it], now, share + listOfNotNull(beside)) }
     }
 
     val rulesVersion: Long get() = state.book.set.version
@@ -316,6 +337,9 @@
     private fun lapsed(job: Job, now: Long) = now - heardFrom.getOrDefault(job.owner, Long.MIN_VALUE / 2) > tuning.lapseMs
 
     private companion object {
+        /** A job that has waited for as long as so many boots counts as not served so far. */
+        const val SERVE_WITHIN_BOOTS = 4
+        const val DEFAULT_BOOT_MS = 60_000.0
         val REPORTING = setOf(MachinePhase.UP, MachinePhase.QUIET, MachinePhase.UNHEARD, MachinePhase.LOST)
         const val MAX_ROWS = 256
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -10,9 +10,11 @@
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Placement
 import org.honeyjunction.core.model.Task
+import org.honeyjunction.core.served.Counted
+import org.honeyjunction.core.served.Served
 
 /** What the end of a task means: durable results, finished and cancelled jobs, failures. */
-class Lifecycle(private val state: ClusterState, private val ledger: Ledger, private val blame: Blame) {
+class Lifecycle(private val state: ClusterState, private val ledger: Ledger, private val blame: Blame, private val served: Served) {
     /** Jobs whose final record is to be written. */
     private val closable = LinkedHashSet<Job>()
 
@@ -66,6 +68,7 @@
     private fun over(job: Job, cancelled: Boolean, now: Long) {
         job.enter(if (cancelled) JobStage.CANCELLED else JobStage.DONE)
         judge(blame.jobOver(job.index, now))
+        served.over(job.counted(now), done = !cancelled)
         state.over(job, now)
         if (!cancelled) job.tasks.forEach { it.doneDurable = true }
         job.placements.toList().forEach { it.askToStop(0.0) }
@@ -95,6 +98,8 @@
     }
 }
 
+fun Job.counted(now: Long) = Counted(spec.jobClass, spec.team, started || doneCount > 0, now - createdAt)
+
 /** Asks for a stop; a lesser grace than before replaces the earlier one. */
 fun Placement.askToStop(graceS: Double) {
     if (stopping && graceS >= stopGraceS) return
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -3,6 +3,8 @@
 import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.boot.BootMark
 import org.honeyjunction.core.capacity.Offer
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Tally
 
 enum class Cause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, NO_ROOM, BUSY, UNKNOWN_JOB }
 
@@ -71,8 +73,8 @@
     data class JobOver(val job: String, val version: Long, val cancelled: Boolean) : Change
 }
 
-/** Which jobs fail wherever they are tried, and how long machines take to boot. */
-data class Marks(val jobs: List<JobMark> = emptyList(), val boots: List<BootMark> = emptyList())
+/** Which jobs fail wherever they are tried, how long machines take to boot, and what was served of each class and team of jobs that are over. */
+data class Marks(val jobs: List<JobMark> = emptyList(), val boots: List<BootMark> = emptyList(), val served: Map<Group, Tally> = emptyMap())
 
 data class MachineHint(
     val name: String,
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -72,6 +72,7 @@
         }
         if (known != null && known.attempt == said.attempt) {
             known.enter(phase, now)
+            if (phase == Phase.RUNNING) job.started = true
             machine.idleSince = Long.MIN_VALUE
             // A running task's image is there, whatever an earlier holder's record said.
             state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -82,6 +82,9 @@
     val placements = LinkedHashSet<Placement>()
     var notBefore = 0L
 
+    /** Whether a task of it has ever run, as far as this term knows. */
+    var started = false
+
     /** Fails wherever it is tried: one task of it is tried at a time, after all others, and nothing is rented for it. */
     var failing = false
 
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -339,6 +339,9 @@
     private fun check() {
         if (now % 1000 == 0L) holder?.let { recount(it.holder.state) }
         watch.check(workers.values, now)
+        if (now % 1000 == 0L) holder?.takeIf { it.alive && it.reachable && now >= it.frozenUntil }?.holder?.starved(now)?.forEach { (group, t) ->
+            watch.note(now, "starved: of $group only ${t.started} of ${t.accepted} jobs were started beside free machines")
+        }
         holder?.takeIf { it.alive && it.reachable }?.holder?.stalled(now)?.filter { it.obstacle == Obstacle.NONE }?.forEach { broken += "$now $it" }
     }
 
--- a/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/StateCodec.kt
@@ -10,6 +10,8 @@
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
 import org.honeyjunction.core.results.TaskNumbers
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Tally
 import java.util.BitSet
 
 /** A key's value with its version; version 0 stands for a key that is not there. */
@@ -128,13 +130,24 @@
         for (j in m.jobs) jobs.putObject(j.job).put("failing", j.failing).put("tries", j.tries).put("machines", j.machines).put("since", j.sinceWall)
         val boots = putArray("boots")
         for (b in m.boots) boots.addObject().put("type", b.type).put("zone", b.zone).put("spot", b.spot).put("count", b.count).put("median", b.medianMs).put("late", b.lateMs)
+        for (of in Group.Of.entries) {
+            val groups = putObject(of.name.lowercase())
+            m.served.filterKeys { it.of == of }.forEach { (g, t) -> groups.putArray(g.name).add(t.accepted).add(t.started).add(t.done) }
+        }
     }
 
     fun marks(v: JsonNode) = Marks(
         v.given("jobs")?.properties().orEmpty().map { (job, o) -> JobMark(job, o.flag("failing"), o.count("tries").toInt(), o.count("machines").toInt(), o.count("since")) },
         v.listOrEmpty("boots").map { BootMark(it.text("type"), it.text("zone"), it.flag("spot"), it.count("count").toInt(), it.count("median"), it.count("late")) },
+        Group.Of.entries.flatMap { of ->
+            v.given(of.name.lowercase())?.properties().orEmpty().map { (name, t) ->
+                if (t.size() != TALLY_FIELDS || t.any { !it.isInt }) throw MalformedException("the tally of $name is invalid")
+                Group(of, name) to Tally(t[0].intValue(), t[1].intValue(), t[2].intValue())
+            }
+        }.toMap(),
     )
 
     private const val START_FIELDS = 4
+    private const val TALLY_FIELDS = 3
     private const val MOST_SHOWN = 40
 }
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -17,6 +17,7 @@
         "core.evidence, '',                                         java.util java.lang kotlin",
         "core.blame,    '',                                         java.util java.lang kotlin",
         "core.boot,     '',                                         java.util java.lang kotlin org.HdrHistogram",
+        "core.served,   '',                                         java.util java.lang kotlin",
         "core.results,  '',                                         java.util java.lang kotlin",
         "core.model,    'core.evidence core.boot',                  java.util java.lang kotlin org.agrona",
         "core.rules,    'core.model',                               java.util java.lang java.math kotlin",
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/ServedTest.kt
@@ -0,0 +1,60 @@
+package org.honeyjunction.core
+
+import org.honeyjunction.core.blame.JobMark
+import org.honeyjunction.core.boot.BootMark
+import org.honeyjunction.core.control.Marks
+import org.honeyjunction.core.served.Counted
+import org.honeyjunction.core.served.Group
+import org.honeyjunction.core.served.Served
+import org.honeyjunction.core.served.Tally
+import org.honeyjunction.wire.Json
+import org.honeyjunction.wire.StateCodec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class ServedTest {
+    private val ofClass = Group(Group.Of.CLASS, "c")
+    private fun job(started: Boolean, ageMs: Long, team: String = "t") = Counted("c", team, started, ageMs)
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        // case, so many have started, are young and wait, are old and wait; accepted, started, starved
+        "all started,                        4, 0, 0, 4, 4, false", "the young ones do not count yet,    3, 9, 0, 3, 3, false",
+        "more than half waited for long,     3, 0, 4, 7, 3, true",  "half of them is enough,             4, 0, 4, 8, 4, false",
+        "a few jobs say nothing,             0, 0, 3, 3, 0, false",
+    )
+    fun `the share of a class`(case: String, started: Int, young: Int, old: Int, accepted: Int, ran: Int, starved: Boolean) {
+        val served = Served(10_000)
+        val active = List(started) { job(true, 100) } + List(young) { job(false, 9_000) } + List(old) { job(false, 11_000) }
+        val tally = served.tallies(active.asSequence()).getValue(ofClass)
+        assertEquals(listOf(accepted, ran, starved), listOf(tally.accepted, tally.started, tally.starved), case)
+    }
+
+    @Test
+    fun `jobs that are over are handed on, and counted once`() {
+        val first = Served(10_000)
+        first.over(job(true, 500), done = true)
+        first.over(job(false, 20_000), done = false)
+        first.over(job(false, 500), done = false)
+        val next = Served(10_000).apply { restore(first.marks()) }
+        val all = next.tallies(sequenceOf(job(true, 1), job(false, 30_000, "u")))
+        assertEquals(Tally(4, 2, 1), all[ofClass])
+        assertEquals(mapOf("t" to Tally(3, 2, 1), "u" to Tally(1, 0, 0)), all.filterKeys { it.of == Group.Of.TEAM }.mapKeys { it.key.name })
+    }
+
+    @Test
+    fun `what a later holder is told is read as it was written, and fits into the smallest value`() {
+        val marks = Marks(
+            List(20) { JobMark("j-%06d".format(it), it % 2 == 0, it, 9, 1_764_630_000_000) },
+            List(12) { BootMark("boveda-24g", "ciudad-vieja", it % 2 == 0, 20, 25_000, 42_000) },
+            (0 until 30).associate { Group(Group.Of.entries[it % 2], "spread-backtest-$it") to Tally(300, 200, 100) },
+        )
+        val bytes = Json.write(StateCodec.marks(marks))
+        assertEquals(marks, StateCodec.marks(Json.read(bytes)))
+        assertTrue(bytes.size <= 4096, "${bytes.size} bytes")
+        assertEquals(Marks(), StateCodec.marks(Json.read(Json.write(StateCodec.marks(Marks())))))
+    }
+}
