Logs of several controllers in one order: stamps, event names, timeline

Need: log times of controllers that stood still or whose clocks jumped did not agree, and nobody could tell what had happened first.

What operators look for has a stable event name. 'honeyjunction timeline LOG...' merges logs by each node's own order, by clocks beyond their bounds and by terms, and marks where the order is not known. How often boot times and served shares are compared with what was told is bounded too.

--- a/src/main/kotlin/org/honeyjunction/app/Election.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Election.kt
@@ -65,9 +65,9 @@
             state.endLease(lease)
             return null
         }
-        log.info("term {} begins", next)
         holder = node
         term = next
+        log.info("term-begins: {}", next)
         return Term(next, version, lease, validUntil(sentAt))
     }
 
@@ -77,7 +77,7 @@
             val sentAt = clock.steady()
             try {
                 if (!state.extendLease(term.lease)) {
-                    log.warn("the lease of term {} has ended", term.number)
+                    log.warn("lease-ended: of term {}", term.number)
                     return
                 }
                 contactAt = clock.steady()
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -80,7 +80,7 @@
     private suspend fun tellCensus() {
         while (log.isInfoEnabled) {
             delay(CENSUS_MS)
-            log.info("term {}: {}; {}; {}", term.number, holder.census(), state.census(), sockets())
+            log.info("holder-census: term {}: {}; {}; {}", term.number, holder.census(), state.census(), sockets())
         }
     }
 
@@ -106,7 +106,7 @@
                 is Effect.Cancelled -> cancelWaiters.remove(effect.job)?.forEach {
                     it.complete(if (effect.done) JobStage.DONE else JobStage.CANCELLED)
                 }
-                is Effect.Tell -> log.info("term {}: {}", term.number, effect.what)
+                is Effect.Tell -> log.info("{}: {}", effect.event, effect.what)
                 is Effect.StepDown -> lost(effect.reason)
             }
         }
@@ -281,11 +281,11 @@
         try {
             when (val result = cloud.rent(e, still(withinLease = true))) {
                 is CloudClient.Rented -> {
-                    log.info("rented {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
+                    log.info("machines-rented: {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
                     holder.rented(e.request, result.machines, clock.steady())
                 }
                 CloudClient.NoCapacity -> {
-                    log.info("no {} in {} (spot: {}): {} asked", e.type, e.zone, e.offer.spot, e.count)
+                    log.info("rental-refused: no {} in {} (spot: {}): {} asked", e.type, e.zone, e.offer.spot, e.count)
                     holder.rentalRefused(e.request, clock.steady())
                 }
             }
@@ -304,7 +304,7 @@
             log.debug("releasing: {}", x.message)
             false
         }
-        if (confirmed) log.info("released {}", e.machines)
+        if (confirmed) log.info("machines-released: {}", e.machines)
         holder.released(e.machines, confirmed, clock.steady())
         settle()
     }
--- a/src/main/kotlin/org/honeyjunction/app/Main.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Main.kt
@@ -21,7 +21,7 @@
     mixinStandardHelpOptions = true,
     version = [VERSION],
     description = ["A cluster scheduler that places tasks by fairness and data locality.", "--config FILE alone starts a controller, as serve does."],
-    subcommands = [Serve::class, LocalCommand::class, RulesCommand::class, JobCommand::class, ExplainCommand::class, GenerateCompletion::class],
+    subcommands = [Serve::class, LocalCommand::class, RulesCommand::class, JobCommand::class, ExplainCommand::class, TimelineCommand::class, GenerateCompletion::class],
     synopsisSubcommandLabel = "COMMAND",
 )
 class Main : Callable<Int> {
@@ -82,8 +82,9 @@
 
     private fun serve(settings: Settings, tuning: Tuning, nomad: NomadOptions?): Int {
         val loop = Loop()
+        val stamps = Stamps.install(settings.node, settings.skewMs)
         try {
-            Node(settings, tuning, loop, nomad = nomad).start()
+            Node(settings, tuning, loop, nomad = nomad).also { node -> stamps.term = { node.knownTerm } }.start()
         } catch (e: IOException) {
             return complain("can't listen on ${listOfNotNull(settings.listen, settings.peerListen, nomad?.takeIf { it.on }?.listen).joinToString(" or ")}: ${e.message}", Status.CANT_LISTEN)
         }
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -83,6 +83,9 @@
 
     val isHolder: Boolean get() = driver != null
 
+    /** The latest term that this node knows of. */
+    val knownTerm: Long get() = election.term
+
     /** Who holds the term, as far as this node knows. */
     val holderName: String? get() = if (isHolder) settings.node else election.holder
 
@@ -116,7 +119,7 @@
             nomadServer.listen(socketAddress(registry.options.listen))
             loop.scope.supervise("registered jobs", clock) { registry.follow() }
         }
-        log.info("{} listens on {}", settings.node, settings.listen)
+        log.info("node-up: {} listens on {}", settings.node, settings.listen)
     }
 
     private suspend fun answer(r: Request): Response = when (r.path) {
@@ -230,7 +233,7 @@
             registry?.readAll()
             recover()
         } catch (e: IOException) {
-            log.warn("term {}: can't read what was stored: {}", term.number, e.message)
+            log.warn("term-refused: term {}: can't read what was stored: {}", term.number, e.message)
             election.resign(term)
             return
         } catch (e: MalformedException) {
@@ -254,7 +257,7 @@
         }
         current.start(jobsFrom)
         log.info(
-            "holding term {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
+            "term-held: {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
             recovered.jobs.size, recovered.machines.size,
         )
         election.keep(term, { driver === current }, current::renewed)
@@ -275,7 +278,7 @@
 
     private fun stepDown(reason: String) {
         val current = driver ?: return
-        log.warn("stepping down from term {}: {}", current.term.number, reason)
+        log.warn("term-given-up: {}: {}", current.term.number, reason)
         driver = null
         fixedShare()
         current.stop()
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -34,6 +34,8 @@
     val cloudRps: Double,
     val listLagMs: Long,
     val maxSockets: Int,
+    /** The time of day lies within so many milliseconds of the true one. */
+    val skewMs: Long = 0,
 ) {
     companion object {
         fun read(file: Path): Settings = parse(Json.readObject(Files.bytes(file)))
@@ -68,6 +70,7 @@
                 o.text("host_name"), address(o, "api_addr"), address(o, "peer_listen"), peers,
                 within("external") { address(external, "cloud") }, within("external") { address(external, "state") }, cluster, stateLimits,
                 within(CLOUD) { positive(cloud, "rps") }, within(CLOUD) { millis(cloud, "list_lag_s") }, sockets,
+                within("params") { params.amountOrNull("skew_ms") }?.toLong() ?: 0,
             )
         }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Conservation.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Conservation.kt
@@ -81,7 +81,7 @@
             val kept = seen.getValue(state.job(s.job)!!.index)
             if (kept.told) continue
             kept.told = true
-            state.effects += Effect.Tell("${s.tasks} tasks of ${s.job} wait beside free machines for ${(now - s.sinceMs) / 1000} s: ${s.obstacle.what}")
+            state.effects += Effect.Tell("beside-room", "${s.tasks} tasks of ${s.job} wait beside free machines for ${(now - s.sinceMs) / 1000} s: ${s.obstacle.what}")
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -30,7 +30,11 @@
 
     fun step(now: Long) {
         if (busy || now >= state.leaseValidUntil) return
-        if (now >= nextMarksAt && (blame.version != marked || now - markedAt > LEARNED_MS && (boots() != toldBoots || served.marks() != toldServed))) return mark(now)
+        if (now >= nextMarksAt) {
+            // Looked at now and then only: quantiles are not free.
+            nextMarksAt = now + MARKS_MS
+            if (blame.version != marked || now - markedAt > LEARNED_MS && (boots() != toldBoots || served.marks() != toldServed)) return mark(now)
+        }
         if (now < nextAt) return
         nextAt = now + state.cluster.pageGapMs * GAPS
         val known = state.machines.filter { it.phase in KNOWN && it.address != null && it.type != Names.ABSENT }
@@ -50,7 +54,6 @@
     private fun boots() = boots.marks { state.cluster.typeNames.name(it.type) to state.cluster.zones.name(it.zone) }
 
     private fun mark(now: Long) {
-        nextMarksAt = now + MARKS_MS
         markedAt = now
         val version = blame.version
         val seen = boots()
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -151,7 +151,7 @@
     private fun enter(now: Long) {
         state.now = now
         val pauseMs = state.door.beat(now)
-        if (pauseMs > 0) state.effects += Effect.Tell("stood still for $pauseMs ms, the term's lease is ${if (state.door.state == TermDoor.State.OPEN) "still" else "no longer sure to be"} held")
+        if (pauseMs > 0) state.effects += Effect.Tell("stood-still", "for $pauseMs ms, the term's lease is ${if (state.door.state == TermDoor.State.OPEN) "still" else "no longer sure to be"} held")
     }
 
     /** Whether what was decided a while ago may still be done: start, rent and give back only within the lease, the rest unless woken past it. */
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -82,7 +82,7 @@
         val judgement = blame.failed(job.index, placement.task.number, placement.machine.index, now, holdMs)
         judge(judgement.machines)
         val failing = blame.failing(job.index)
-        if (failing && !job.failing) state.effects += Effect.Tell("${job.spec.id} failed on ${blame.failures(job.index)?.first} machines: it is tried again one task at a time, and its user has to mend or cancel it")
+        if (failing && !job.failing) state.effects += Effect.Tell("job-failing", "${job.spec.id} failed on ${blame.failures(job.index)?.first} machines: it is tried again one task at a time, and its user has to mend or cancel it")
         job.failing = failing
         job.notBefore = now + judgement.pauseMs
     }
@@ -92,7 +92,7 @@
             val m = state.machineAt(index) ?: continue
             m.held = now == MachineHealth.HELD
             if (now != MachineHealth.FAULTY) continue
-            state.effects += Effect.Tell("${m.name} is faulty: sound jobs fail there, or several")
+            state.effects += Effect.Tell("machine-faulty", "${m.name} is at fault: sound jobs fail there, or several")
             if (m.phase == MachinePhase.UP) m.enter(MachinePhase.DRAINING)
         }
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -116,8 +116,8 @@
     /** A user's cancellation is durable (or the job was done already). */
     data class Cancelled(val job: String, val done: Boolean) : Effect
 
-    /** For the log: something that operators should know of. */
-    data class Tell(val what: String) : Effect
+    /** For the log: something that operators should know of, under the stable name [event]: words of small letters with hyphens. */
+    data class Tell(val event: String, val what: String) : Effect
 
     /** This node can no longer be sure to be the only holder. */
     data class StepDown(val reason: String) : Effect
--- a/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
@@ -36,7 +36,7 @@
     private fun enter(index: Int, next: ZoneState, now: Long) {
         val zone = zones[index]
         val counts = state.machines.filter { it.zone == index }.groupingBy { it.phase }.eachCount().toSortedMap()
-        state.effects += Effect.Tell("zone ${state.cluster.zones.name(index)}: ${zone.state} -> $next after ${(now - zone.since) / 1000} s, $counts")
+        state.effects += Effect.Tell("zone-changed", "${state.cluster.zones.name(index)}: ${zone.state} -> $next after ${(now - zone.since) / 1000} s, $counts")
         if (next == ZoneState.CUT && zone.state == ZoneState.CALM) zone.cutAt = now
         if (next == ZoneState.CUT) {
             zone.mostSilent = 0
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -24,13 +24,14 @@
         "core,          'core',                                     java.util java.lang java.math kotlin org.agrona org.HdrHistogram",
         "wire,          'wire core',                                java kotlin okio com.fasterxml.jackson",
         "io,            'io wire',                                  java kotlin kotlinx.coroutines okio com.fasterxml.jackson org.slf4j",
+        "timeline,      '',                                         java.time java.lang java.util kotlin",
         "rules,         'rules core.rules core.model wire',         java kotlin okio com.fasterxml.jackson com.networknt org.antlr",
         "nomad.hcl,     'nomad wire',                               java.util java.lang kotlin org.antlr",
         "nomad.registry,'nomad core.model core.rules wire',         java.util java.lang java.math kotlin okio com.fasterxml.jackson",
         "nomad,         'nomad core.model core.rules wire',         java.util java.lang java.math java.time kotlin okio com.fasterxml.jackson com.networknt com.google.re2j com.cronutils org.antlr",
         "standin,       'standin core wire io',                     java kotlin kotlinx.coroutines com.fasterxml.jackson",
         "emulator,      'emulator core standin',                    java kotlin",
-        "app,           'app core wire io rules nomad standin emulator',          java kotlin kotlinx.coroutines okio com.fasterxml.jackson com.networknt org.slf4j picocli",
+        "app,           'app core wire io rules nomad standin emulator timeline', java kotlin kotlinx.coroutines okio com.fasterxml.jackson com.networknt org.slf4j picocli",
     )
     fun `imports`(part: String, own: String, others: String) {
         val of = classes.filter { it.packageName.startsWith("$ROOT.$part") }
