Polls are joined, never with one on its way, and refused before submissions wait

Need: users ask many times as often. Each poll at a node that does not hold the term was a message to the holder of its own, and behind a holder that does not answer each was two reads of the state service, without bound.

Questions leave together, one message of up to 400 jobs at most every 40 ms; what the holder is not sure of is read from the records at a tenth of the state service's requests; what would wait for a second is refused with Retry-After. Submissions and cancellations do not pass the desks. The census tells the pressure of both.

--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -52,6 +52,7 @@
     private val cloud = CloudClient(loop, settings.cloud, settings.cloudRps, clock)
     private val election = Election(settings.node, state, clock, tuning.leaseMs)
     private val peers = settings.peers.associate { it.name to PeerClient(loop, it.address) }
+    private val holderWatch = HolderWatch(clock.steady())
     val users = UserApi(this)
     val rules = if (tuning.rules) RulesKeeper(this, ::useRules) else null
     private val rulesApi = rules?.let { RulesApi(this, it) }
@@ -97,6 +98,11 @@
 
     /** How long the state service has not answered this node, in milliseconds; 0 while it does. */
     val outageMs: Long get() = if (stateSilent) clock.steady() - election.contactAt else 0
+    val scope get() = loop.scope
+
+    /** Somebody else holds the term, as far as this node knows, and has answered it lately. */
+    val holderWorthAsking: Boolean get() = !isHolder && holderWatch.worthNaming(clock.steady()).let { it != null && it != settings.node }
+
     val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
 
     /** Too many writes or tasks wait already: another job would not be answered in time, or not fit into memory. */
@@ -151,8 +157,6 @@
 
     private var heardPeerAt = clock.steady()
 
-    private val holderWatch = HolderWatch(clock.steady())
-
     private fun hello(r: Request): Response {
         val report = try {
             WorkerCodec.report(r.body)
@@ -246,7 +250,7 @@
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
             rules?.current?.set ?: RuleSet.NONE,
         )
-        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp) { server.census }
+        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp) { "${server.census}; ${users.census()}" }
         driver = current
         shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
         state.share(shares.own(state.waiting, clock.steady()))
@@ -395,7 +399,12 @@
             val r = if (isHolder) asked(Request(m.method, m.path, m.body), forwarded = true) else Response(503)
             PeerMessage.Answer(r.status, r.retryAfterS ?: 0, r.body)
         }
-        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer ->
+        is PeerMessage.Polls -> {
+            val sure = certainHolder?.holder
+            if (sure == null) PeerMessage.NotHolder(election.term)
+            else PeerMessage.Stages(m.jobs.mapNotNull { id -> sure.certainStatus(id)?.let { id to it } }.toMap())
+        }
+        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer, is PeerMessage.Stages ->
             PeerMessage.NotHolder(election.term)
     }
 
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/Polls.kt
@@ -0,0 +1,37 @@
+package org.honeyjunction.app
+
+import org.honeyjunction.core.control.JobStatus
+import org.honeyjunction.core.control.StoredJob
+import org.honeyjunction.core.polls.Desk
+import org.honeyjunction.wire.PeerMessage
+
+/** Users' polls that somebody else must answer: the holder of the term, or the records. Times in milliseconds. */
+class Polls(private val node: Node, private val stored: suspend (String) -> StoredJob?) {
+    /** What the holder is sure of. */
+    val holder = JoinedQuestions<JobStatus>(node.scope, node.clock, Desk(HOLDER_GAP_MS, MOST_AT_ONCE, PATIENCE_MS)) { ids ->
+        (node.askHolder(PeerMessage.Polls(ids), ANSWER_MS) as? PeerMessage.Stages)?.jobs
+    }
+
+    /** Records are read one by one, and no faster than leaves requests for the term, its pages and submissions. */
+    val records = JoinedQuestions<Looked>(node.scope, node.clock, Desk((1000 * READS / (node.settings.stateLimits.requestsPerS * SHARE)).toLong().coerceAtLeast(1), 1, PATIENCE_MS)) { ids ->
+        ids.associateWith { Looked(stored(it)) }
+    }
+
+    fun census() = "polls: pressure %.2f at the holder, %.2f at the records, ${holder.refused() + records.refused()} refused".format(holder.pressure(), records.pressure())
+
+    private companion object {
+        /** A lone question leaves at once; in a storm this joins what comes within a twenty-fifth of a second. */
+        const val HOLDER_GAP_MS = 40L
+        const val MOST_AT_ONCE = 400
+
+        /** Users wait for two seconds. */
+        const val PATIENCE_MS = 1_000L
+        const val ANSWER_MS = 700L
+
+        /** A record takes two requests at most. */
+        const val READS = 2.0
+
+        /** The part of the state service's requests that polls of one node may use, however many nodes there are. */
+        const val SHARE = 0.1
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -19,6 +19,9 @@
 import org.honeyjunction.wire.Write
 import java.io.IOException
 
+/** A job's record, or that there is none. */
+class Looked(val job: StoredJob?)
+
 /** What users ask. Every answer is as new as anything that any node has told. */
 class UserApi(private val node: Node) {
     /** Final stages never change, so they are kept; the oldest make way. */
@@ -26,6 +29,12 @@
         override fun removeEldestEntry(eldest: Map.Entry<String, JobStatus>) = size > MAX_FINALS
     }
 
+    /** Polls that this node can't answer by itself; submissions and cancellations do not pass here. */
+    private val polls = Polls(node, ::stored)
+
+    /** For the census: how much of their patience polls use up by waiting, and how many were refused since the last look. */
+    fun census() = polls.census()
+
     suspend fun handle(r: Request, forwarded: Boolean = false): Response {
         val id = r.path.removePrefix(RUNS).removePrefix("/").removeSuffix(CANCEL)
         return try {
@@ -33,7 +42,7 @@
                 r.path == RUNS -> if (r.method == "POST") submit(r, forwarded) else Response(405)
                 !JobCodec.isId(id) -> Response(404)
                 r.path.endsWith(CANCEL) -> if (r.method == "POST") cancel(id, forwarded) else Response(405)
-                else -> if (r.method == "GET") poll(id, forwarded) else Response(405)
+                else -> if (r.method == "GET") poll(id) else Response(405)
             }
         } catch (e: IOException) {
             node.log.debug("{} {}: {}", r.method, r.path, e.message)
@@ -82,13 +91,22 @@
     private fun accepted(status: Int, spec: JobSpec, job: JobStatus) =
         Response(status, JobCodec.answer(spec.id, job, counts = false))
 
-    private suspend fun poll(id: String, forwarded: Boolean): Response {
+    /** Joined with other users' questions where it takes somebody else's answer; never with one that is on its way already. */
+    private suspend fun poll(id: String): Response {
         known(id)?.let { return found(id, it) }
-        if (!forwarded && !node.isHolder) {
-            val answer = forward(Request("GET", "$RUNS/$id", Response.NO_BODY))
-            if (answer != null && answer.status == 200) return answer
+        if (node.holderWorthAsking) {
+            when (val told = polls.holder.of(id)) {
+                is Joined.Answered -> return found(id, told.answer)
+                Joined.Shed -> return later(TOO_MANY_POLLS)
+                // It is not sure, or does not answer: the record is.
+                Joined.Silence -> Unit
+            }
+        }
+        return when (val read = polls.records.of(id)) {
+            is Joined.Answered -> read.answer.job?.let { found(id, status(it)) } ?: Response(404)
+            Joined.Shed -> later(TOO_MANY_POLLS)
+            Joined.Silence -> later("the state service does not answer this node", id)
         }
-        return stored(id)?.let { found(id, status(it)) } ?: Response(404)
     }
 
     private fun found(id: String, status: JobStatus): Response {
@@ -153,6 +171,7 @@
         }
 
         const val RUNS = "/v2/runs"
+        private const val TOO_MANY_POLLS = "too many questions are waiting"
         const val NO_HOLDER = "no node is sure to hold the term"
         private const val CANCEL = "/cancel"
         private const val MAX_FINALS = 20_000
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -2,6 +2,8 @@
 
 import okio.Buffer
 import okio.EOFException
+import org.honeyjunction.core.control.JobStatus
+import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.placement.Proposal
@@ -33,6 +35,12 @@
     class Forward(val method: String, val path: String, val body: ByteArray) : PeerMessage
 
     class Answer(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerMessage
+
+    /** Users of a controller ask where these jobs are. */
+    data class Polls(val jobs: List<String>) : PeerMessage
+
+    /** What the holder is sure of; a job that it does not name must be looked up in its record. */
+    class Stages(val jobs: Map<String, JobStatus>) : PeerMessage
 }
 
 /** Frames of a length, a kind and its fields, in Okio buffers. */
@@ -45,6 +53,8 @@
     private const val ACCEPTED = 5
     private const val FORWARD = 6
     private const val ANSWER = 7
+    private const val POLLS = 8
+    private const val STAGES = 9
 
     fun encode(m: PeerMessage): ByteArray {
         val body = Buffer()
@@ -58,6 +68,10 @@
             is PeerMessage.Accepted -> body.writeByte(ACCEPTED).writeInt(m.count)
             is PeerMessage.Forward -> body.writeByte(FORWARD).text(m.method).text(m.path).bytes(m.body)
             is PeerMessage.Answer -> body.writeByte(ANSWER).writeInt(m.status).writeInt(m.retryAfterS).bytes(m.body)
+            is PeerMessage.Polls -> body.writeByte(POLLS).all(m.jobs) { text(it) }
+            is PeerMessage.Stages -> body.writeByte(STAGES).all(m.jobs.entries.toList()) { (id, j) ->
+                text(id).writeByte(j.stage.ordinal).writeInt(j.done).writeInt(j.running)
+            }
         }
         return Buffer().writeInt(body.size.toInt()).apply { writeAll(body) }.readByteArray()
     }
@@ -85,6 +99,8 @@
         ACCEPTED -> PeerMessage.Accepted(b.readInt())
         FORWARD -> PeerMessage.Forward(b.text(), b.text(), b.bytes())
         ANSWER -> PeerMessage.Answer(b.readInt(), b.readInt(), b.bytes())
+        POLLS -> PeerMessage.Polls(b.all { text() })
+        STAGES -> PeerMessage.Stages(b.all { text() to JobStatus(stage(), readInt(), readInt()) }.toMap())
         else -> throw MalformedException("frame of kind $kind")
     }
 
@@ -150,6 +166,8 @@
 
     private fun Buffer.priority() = Priority.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("priority")
 
+    private fun Buffer.stage() = JobStage.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("stage")
+
     private fun Buffer.resources(r: Resources) = amount(r.cpus).amount(r.gpus).amount(r.memoryGb)
 
     private fun Buffer.resources() = Resources(amount(), amount(), amount())
--- a/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
+++ b/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode
 import okio.Buffer
 import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.control.TaskState
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
@@ -111,4 +112,15 @@
             }
         }
     }
+
+    @Test
+    fun `joined polls survive their way to the holder and back`() {
+        val ids = List(400) { "j-%06d".format(it) }
+        assertEquals(PeerMessage.Polls(ids), PeerCodec.decode(Buffer().write(PeerCodec.encode(PeerMessage.Polls(ids)))))
+        val sure = ids.take(300).withIndex().associate { (i, id) -> id to JobStatus(JobStage.entries[i % JobStage.entries.size], i, 2 * i) }
+        val back = PeerCodec.decode(Buffer().write(PeerCodec.encode(PeerMessage.Stages(sure)))) as PeerMessage.Stages
+        assertEquals(sure.mapValues { (_, j) -> listOf(j.stage, j.done, j.running) }, back.jobs.mapValues { (_, j) -> listOf(j.stage, j.done, j.running) })
+        val bad = PeerCodec.encode(PeerMessage.Stages(mapOf("j-1" to JobStatus(JobStage.ACTIVE, 1, 1)))).also { it[it.size - 9] = 99 }
+        assertThrows(MalformedException::class.java) { PeerCodec.decode(Buffer().write(bad)) }
+    }
 }
