--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -75,6 +75,16 @@
                 say("outage of ${if (whom == Fault.Whom.State) "the state service" else "the cloud"} for ${f.forMs / 1000.0} s")
             }
             Fault.Whom.Machine, is Fault.Whom.Machines, is Fault.Whom.Zone -> say("${f.what.name.lowercase()} ${few(loopback.strike(f))}")
+            Fault.Whom.Boots -> {
+                loopback.boots(f.what, f.forMs)
+                say("${f.what.name.lowercase()} boots for ${f.forMs / 1000.0} s")
+            }
+            Fault.Whom.Polls -> {
+                say("users ask ${Fault.STORM_POLLS} times at once for ${f.forMs / 1000.0} s")
+                users.pollsAtOnce = Fault.STORM_POLLS
+                delay(f.forMs)
+                users.pollsAtOnce = 1
+            }
             Fault.Whom.AllNodes -> strikeNodes(f, nodes.indices.toList())
             Fault.Whom.Holder -> strikeNodes(f, listOfNotNull(loopback.holder()))
             is Fault.Whom.Node -> strikeNodes(f, listOf(whom.number).filter { it in nodes.indices })
@@ -91,7 +101,7 @@
                 Fault.What.KILL -> controllers.kill(n)
                 Fault.What.HANG -> controllers.hang(n, f.forMs)
                 Fault.What.REFUSE -> loopback.refuse(n, f.forMs)
-                Fault.What.CUT, Fault.What.NOTICE, Fault.What.OUTAGE -> Unit
+                Fault.What.CUT, Fault.What.NOTICE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
             }
         }
         if (f.what != Fault.What.KILL) return
--- a/src/main/kotlin/org/honeyjunction/emulator/Day.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Day.kt
@@ -33,7 +33,14 @@
             Fault.Whom.State -> world.state.down = true
             Fault.Whom.Cloud -> world.cloudDown = true
             // One holder acts here at a time: whichever node is meant, its successor is elected when its lease is over.
-            Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node -> if (f.what == Fault.What.REFUSE) world.cutOff() else world.crash()
+            Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node -> when (f.what) {
+                Fault.What.REFUSE -> world.cutOff()
+                Fault.What.HANG -> world.freeze(f.forMs)
+                else -> world.crash()
+            }
+            Fault.Whom.Boots -> if (f.what == Fault.What.SLOW) world.bootFactor = Fault.SLOW_BOOTS else world.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
+            // Users do not ask here.
+            Fault.Whom.Polls -> Unit
             Fault.Whom.Machine, is Fault.Whom.Machines, is Fault.Whom.Zone -> victims(f.whom, world.workers.values, world.random).forEach { w ->
                 when (f.what) {
                     Fault.What.KILL -> w.dead = true
@@ -43,12 +50,13 @@
                         w.noticeS = f.forMs / 1000.0
                         world.at(f.forMs) { w.dead = true }
                     }
-                    Fault.What.REFUSE, Fault.What.OUTAGE -> Unit
+                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
                 }
             }
         }
         if (f.whom == Fault.Whom.State) world.at(f.forMs) { world.state.down = false }
         if (f.whom == Fault.Whom.Cloud) world.at(f.forMs) { world.cloudDown = false }
+        if (f.whom == Fault.Whom.Boots) world.at(f.forMs) { if (f.what == Fault.What.SLOW) world.bootFactor = 1.0 else world.bootFailsOneIn = 0 }
     }
 
     private fun named(whom: Fault.Whom) = when (whom) {
@@ -56,6 +64,7 @@
         is Fault.Whom.Zone -> "zone ${whom.name}"
         is Fault.Whom.Node -> "node ${whom.number}"
         Fault.Whom.AllNodes -> "all nodes"
+        Fault.Whom.Boots, Fault.Whom.Polls -> whom.toString().lowercase()
         Fault.Whom.Holder, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
     }
 
--- a/src/main/kotlin/org/honeyjunction/standin/Cloud.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Cloud.kt
@@ -20,6 +20,10 @@
     val machines = LinkedHashMap<String, Machine>()
     var down = false
 
+    /** What is rented now takes so many times as long to boot; and one in so many never comes up, but is charged. */
+    var bootFactor = 1.0
+    var bootFailsOneIn = 0
+
     fun request(now: Long): Boolean = requests.take(1.0, now)
 
     /** Null: no capacity, or no such type or zone. */
@@ -29,8 +33,9 @@
         val there = minOf(count, MOST, capacity - machines.size)
         if (there <= 0) return null
         val rented = List(there) {
-            val boot = kind.bootS * (FASTEST + random.nextDouble() * (SLOWEST - FASTEST))
-            Machine("vm-%06d".format(++names), kind, zone, spot, now, now + (boot * 1000).toLong())
+            val boot = kind.bootS * bootFactor * (FASTEST + random.nextDouble() * (SLOWEST - FASTEST))
+            val never = bootFailsOneIn > 0 && random.nextInt(bootFailsOneIn) == 0
+            Machine("vm-%06d".format(++names), kind, zone, spot, now, if (never) Long.MAX_VALUE else now + (boot * 1000).toLong())
         }
         rented.forEach { machines[it.name] = it }
         return rented.map { it.name }.also { answers[name] = it }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -93,6 +93,15 @@
         }
     }
 
+    /** What is rented for [forMs] boots badly. */
+    fun boots(what: Fault.What, forMs: Long) {
+        if (what == Fault.What.SLOW) cloud.bootFactor = Fault.SLOW_BOOTS else cloud.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
+        loop.scope.launch {
+            delay(forMs)
+            if (what == Fault.What.SLOW) cloud.bootFactor = 1.0 else cloud.bootFailsOneIn = 0
+        }
+    }
+
     /** Strikes machines; tells which. */
     fun strike(f: Fault): List<String> = victims(f.whom, workers, random).onEach { w ->
         when (f.what) {
@@ -107,7 +116,7 @@
                     cloud.machines.remove(w.name)
                 }
             }
-            Fault.What.REFUSE, Fault.What.OUTAGE -> Unit
+            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
         }
     }.map { it.name }
 
--- a/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
@@ -66,6 +66,14 @@
         }
     }
 
+    @Test
+    fun `users ask ten times at once while the holder stands still and is lost - nobody hears less than before, and late submissions are taken`() {
+        val planned = jobs("""{"jobs":[${List(12) { job(it * 0.4, "q", tasks = 2) }.joinToString()}]}""")
+        using(LocalCluster(settings(), 3, Tuning(idleMs = 6_000), 4, planned, {})) { cluster ->
+            run(cluster, planned, listOf("at 0s storm polls for 30s", "at 1.5s hang holder for 7s", "at 4s kill holder for 2s", "at 2s slow boots for 3s").map(Fault::parse))
+        }
+    }
+
     @Test
     fun `a controller is killed while it applies rules - one whole version is in force everywhere`() {
         val planned = jobs("""{"jobs":[${job(3.0, "q")}]}""")
