Whose jobs are let in under overload is one plan of the holder, and what ends jobs takes turns

Cause: under a flood every submission was refused alike, by a queue or a count.

Change: core.admission. The holder turns what users ask for at all nodes into plans (max-min by guarantee between teams, urgent classes first), with grants that end and never sum to more than there is; each node's gate lets everybody in while its queue is short, else who has credit, and refuses the rest before the body is read, with the time to come back. Writes wait by rank and by turns between teams; the holder's share of the changes is what it must write. While changes are short, final states are recorded in place, one change instead of two, and moved when nothing waits.

--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.honeyjunction.core.admission.FinalRecords
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
@@ -22,6 +23,7 @@
 import org.honeyjunction.io.Loop
 import org.honeyjunction.io.StateClient
 import org.honeyjunction.io.WriteOutcome
+import org.honeyjunction.io.WriteRank
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.MalformedException
@@ -43,6 +45,8 @@
     /** A part of this failed by what nobody expected: the term must not go on without it. */
     private val failed: (String) -> Unit = lost,
     private val sockets: () -> String = { "" },
+    /** Null: final states are always recorded where they are kept. */
+    private val finals: FinalRecords? = null,
 ) {
     private val log = LoggerFactory.getLogger(HolderDriver::class.java)
     private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
@@ -58,6 +62,7 @@
         guard("following jobs") { followJobs(jobsFrom) }
         guard("listing machines") { listAll() }
         guard("the census") { tellCensus() }
+        if (finals != null) guard("moving final records") { moveFinals(finals) }
     }
 
     /** More of the holder's work, which ends with the term. */
@@ -80,7 +85,7 @@
     private suspend fun tellCensus() {
         while (log.isInfoEnabled) {
             delay(CENSUS_MS)
-            log.info("holder-census: term {}: {}; {}; {}", term.number, holder.census(), state.census(), sockets())
+            log.info("holder-census: term {}: {}; {}; {}", term.number, holder.census(), state.census(), "${finals?.size ?: 0} final records in place; ${sockets()}")
         }
     }
 
@@ -153,7 +158,8 @@
 
     private fun seen(value: JsonNode, version: Long) {
         try {
-            holder.jobSeen(JobCodec.stored(value, version), clock.steady(), clock.wall())
+            val job = JobCodec.stored(value, version)
+            if (job.stage == JobStage.ACTIVE) holder.jobSeen(job, clock.steady(), clock.wall())
         } catch (e: MalformedException) {
             log.error("a job's record can't be read: {}", e.message)
         }
@@ -178,19 +184,23 @@
 
     private suspend fun commit(e: Effect.Commit) {
         val fence = Condition(Keys.LEAD, term.leadVersion)
-        val outcome = when (val written = write(listOf(fence) + e.changes.mapNotNull(::condition), e.changes)) {
+        val inPlace = finals != null && e.changes.singleOrNull() is Change.JobOver && finals.inPlace(state.waitS(WriteRank.OTHER))
+        val outcome = when (val written = write(listOf(fence) + e.changes.mapNotNull(::condition), e.changes, inPlace)) {
             is WriteOutcome.Applied -> CommitOutcome.Applied(written.revision)
             WriteOutcome.Refused -> explain(e.changes)
             WriteOutcome.Unknown -> e.changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
         }
+        if (inPlace && outcome is CommitOutcome.Applied) finals!!.placed((e.changes.single() as Change.JobOver).job)
         if (outcome is CommitOutcome.Failed) delay(RETRY_MS)
         holder.committed(e.id, outcome, clock.steady())
         settle()
     }
 
     /** Starts wait for their page, and pages are paced: they go before the rest. */
-    private suspend fun write(conditions: List<Condition>, changes: List<Change>): WriteOutcome =
-        state.commit(conditions, changes.flatMap(::writes), before = changes.any { it is Change.Page })
+    private suspend fun write(conditions: List<Condition>, changes: List<Change>, inPlace: Boolean): WriteOutcome =
+        state.commit(conditions, changes.flatMap { writes(it, inPlace) }, if (changes.any { it is Change.Page }) WriteRank.PAGE else WriteRank.OTHER, lane(changes))
+
+    private fun lane(changes: List<Change>) = changes.firstNotNullOfOrNull { (it as? Change.JobOver)?.let { over -> holder.state.job(over.job)?.spec?.team } }.orEmpty()
 
     private fun condition(change: Change): Condition? = when (change) {
         is Change.Page -> Condition(Keys.page(change.record.page), change.record.version)
@@ -198,7 +208,7 @@
         is Change.Hints, is Change.Learned -> null
     }
 
-    private fun writes(change: Change): List<Write> = when (change) {
+    private fun writes(change: Change, inPlace: Boolean): List<Write> = when (change) {
         is Change.Page -> listOf(Write(Keys.page(change.record.page), StateCodec.page(change.record, change.write)))
         is Change.Hints -> listOf(Write(Keys.hints(change.page), StateCodec.hints(change.machines)))
         is Change.Learned -> listOf(Write(Keys.MARKS, StateCodec.marks(change.marks)))
@@ -206,10 +216,29 @@
             val job = checkNotNull(holder.state.job(change.job))
             val stage = if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
             val created = clock.wall() - (clock.steady() - job.createdAt)
-            listOf(
-                Write(Keys.final(change.job), JobCodec.record(job.spec, job.owner, created.coerceAtLeast(0), stage)),
-                Write(Keys.job(change.job), null),
-            )
+            val record = JobCodec.record(job.spec, job.owner, created.coerceAtLeast(0), stage)
+            if (inPlace) listOf(Write(Keys.job(change.job), record)) else listOf(Write(Keys.final(change.job), record), Write(Keys.job(change.job), null))
+        }
+    }
+
+    /** Final states that were written in place go where finals are kept, while nothing waits. */
+    private suspend fun moveFinals(finals: FinalRecords) {
+        while (true) {
+            delay(MOVE_MS)
+            val job = finals.next(state.waiting == 0, clock.steady()) ?: continue
+            val moved = try {
+                val there = state.get(Keys.job(job))
+                val value = there.value
+                if (value == null || JobCodec.stored(value, there.version).stage == JobStage.ACTIVE) true
+                else state.commit(
+                    listOf(Condition(Keys.LEAD, term.leadVersion), Condition(Keys.job(job), there.version)),
+                    listOf(Write(Keys.final(job), value), Write(Keys.job(job), null)),
+                ) is WriteOutcome.Applied
+            } catch (e: IOException) {
+                log.debug("moving the record of {}: {}", job, e.message)
+                false
+            }
+            finals.moved(job, moved)
         }
     }
 
@@ -251,8 +280,9 @@
         }
 
     private suspend fun isOver(change: Change.JobOver): Boolean {
-        val value = state.get(Keys.final(change.job)).value ?: return false
-        return JobCodec.stored(value, 0).stage == if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
+        val final = state.get(Keys.final(change.job)).value
+        val value = final ?: state.get(Keys.job(change.job)).value ?: return false
+        return (JobCodec.stored(value, 0).stage == if (change.cancelled) JobStage.CANCELLED else JobStage.DONE).also { if (it && final == null) finals?.placed(change.job) }
     }
 
     private suspend fun send(e: Effect.Send) {
@@ -316,5 +346,6 @@
         const val WATCH_MS = 20_000L
         const val RETRY_MS = 300L
         const val SEND_MS = 2_000L
+        const val MOVE_MS = 100L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -6,6 +6,8 @@
 import org.honeyjunction.app.nomad.NomadApi
 import org.honeyjunction.app.nomad.NomadHolder
 import org.honeyjunction.app.nomad.NomadRegistry
+import org.honeyjunction.core.admission.FinalRecords
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.control.Holder
 import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
@@ -15,6 +17,7 @@
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.control.WriteShares
 import org.honeyjunction.core.evidence.HolderWatch
+import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
 import org.honeyjunction.core.rules.RuleSet
@@ -53,6 +56,7 @@
     private val election = Election(settings.node, state, clock, tuning.leaseMs)
     private val peers = settings.peers.associate { it.name to PeerClient(loop, it.address) }
     private val holderWatch = HolderWatch(clock.steady())
+    val admission = Admission(this)
     val users = UserApi(this)
     val rules = if (tuning.rules) RulesKeeper(this, ::useRules) else null
     private val rulesApi = rules?.let { RulesApi(this, it) }
@@ -73,7 +77,6 @@
     /** Gave the term up since no worker reached this node, and has not heard one since. */
     private var deaf = false
     private var heldSince = Long.MIN_VALUE
-    private var toldCrowded = false
     private var toldCertainAt = Long.MIN_VALUE / 2
     private var reports = RecentCount(HEARD_MS)
     private var shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
@@ -106,7 +109,7 @@
     val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
 
     /** Too many writes or tasks wait already: another job would not be answered in time, or not fit into memory. */
-    val overloaded: Boolean get() = state.congested || driver?.holder?.crowded ?: toldCrowded
+    val overloaded: Boolean get() = state.congested || driver?.holder?.crowded ?: false
 
     private val stateSilent: Boolean get() = clock.steady() - election.contactAt > SILENT_MS
 
@@ -231,11 +234,12 @@
 
     private suspend fun hold(term: Term) {
         val now = clock.steady()
+        val finals = if (registry == null) FinalRecords(settings.stateLimits.writesPerS) else null
         val (recovered, jobsFrom) = try {
             // Before anything is started it must be known which rules are in force.
             rules?.refresh()
             registry?.readAll()
-            recover()
+            recover(finals)
         } catch (e: IOException) {
             log.warn("term-refused: term {}: can't read what was stored: {}", term.number, e.message)
             election.resign(term)
@@ -250,10 +254,11 @@
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
             rules?.current?.set ?: RuleSet.NONE,
         )
-        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp) { "${server.census}; ${users.census()}" }
+        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals)
         driver = current
+        admission.termBegins(term.number)
         shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
-        state.share(shares.own(state.waiting, clock.steady()))
+        state.share(shares.own(state.newJobsWaiting, state.otherPerS, clock.steady()))
         heldSince = clock.steady()
         if (registry != null) {
             holder.useJobRules(NomadHolder.rules(registry))
@@ -275,7 +280,10 @@
     private suspend fun shareWrites() {
         while (true) {
             val now = clock.steady()
-            if (isHolder) state.share(shares.own(state.waiting, now)) else if (now - sharedAt > WriteShares.LASTS_MS) fixedShare()
+            if (isHolder) {
+                state.share(shares.own(state.newJobsWaiting, state.otherPerS, now))
+                admission.planOwn()
+            } else if (now - sharedAt > WriteShares.LASTS_MS) fixedShare()
             delay(SHARE_MS)
         }
     }
@@ -284,6 +292,7 @@
         val current = driver ?: return
         log.warn("term-given-up: {}: {}", current.term.number, reason)
         driver = null
+        admission.termEnds()
         fixedShare()
         current.stop()
     }
@@ -300,14 +309,17 @@
         loop.scope.launch { election.resign(current.term) }
     }
 
-    private suspend fun recover(): Pair<Recovered, Long> {
+    private suspend fun recover(finals: FinalRecords?): Pair<Recovered, Long> {
         val (jobs, revision) = state.scan(Keys.JOBS)
         val pages = state.scan(Keys.PAGES).first.mapNotNull(::page)
         val hints = state.scan(Keys.HINTS).first.flatMap { e -> readable { e.value?.let(StateCodec::hints) }.orEmpty() }
-        val stored = jobs.mapNotNullTo(ArrayList()) { e -> e.value?.let { v -> readable { JobCodec.stored(v, e.version) } } }
+        val all = jobs.mapNotNull { e -> e.value?.let { v -> readable { JobCodec.stored(v, e.version) } } }
+        val (active, over) = all.partition { it.stage == JobStage.ACTIVE }
+        over.forEach { finals?.placed(it.spec.id) }
         // Tasks of finished and cancelled jobs may still be on a machine, and count for their team.
-        val missing = pages.flatMap { p -> p.starts.map { it.job } }.toSet() - stored.mapTo(HashSet()) { it.spec.id }
-        missing.mapNotNullTo(stored) { finalJob(it) }
+        val named = pages.flatMapTo(HashSet()) { p -> p.starts.map { it.job } }
+        val stored = (active + over.filter { it.spec.id in named }).toMutableList()
+        (named - stored.mapTo(HashSet()) { it.spec.id }).mapNotNullTo(stored) { finalJob(it) }
         val marks = state.get(Keys.MARKS).value?.let { v -> readable { StateCodec.marks(v) } } ?: Marks()
         return Recovered(stored, pages, hints, marks) to revision
     }
@@ -340,12 +352,13 @@
                 continue
             }
             try {
-                val ask = PeerMessage.Ask(settings.node, election.term, reports.count(clock.steady()), state.waiting)
+                val asked = admission.asks()
+                val ask = PeerMessage.Ask(settings.node, election.term, reports.count(clock.steady()), state.waiting, admission.asked, admission.epoch, admission.grantedPerS)
                 when (val told = peer.ask(ask, tuning.summaryMs + PEER_MS)) {
                     is PeerMessage.Told -> {
                         heardPeerAt = clock.steady()
                         holderWatch.heard(clock.steady())
-                        toldCrowded = told.crowded
+                        admission.planned(told.plan, asked)
                         if (told.certain) toldCertainAt = clock.steady()
                         state.share(told.writesPerS)
                         sharedAt = clock.steady()
@@ -384,8 +397,11 @@
             election.sawTerm(m.term)
             if (current != null) resignIfDeaf(current, m)
             driver?.let {
-                val share = shares.grant(m.node, m.writesQueued, state.waiting, clock.steady())
-                PeerMessage.Told(it.term.number, it.certain, it.holder.crowded, share, summaryFor(it, m.node))
+                val share = shares.grant(m.node, m.writesQueued, state.newJobsWaiting, state.otherPerS, clock.steady())
+                val summary = summaryFor(it, m.node)
+                // The plan is made last: it counts as in force from now on.
+                val plan = admission.planFor(m.node, m.asked, m.plan, m.grantedPerS) ?: Plan.NONE
+                PeerMessage.Told(it.term.number, it.certain, plan, share, summary)
             }
                 ?: PeerMessage.NotHolder(election.term)
         }
--- a/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
@@ -59,7 +60,7 @@
             for (m in listOf("m", "m2")) holder.hello(Report(m, "127.0.0.1:1", "k", "a", false, 1, step, holder.state.termToken, null, emptyList()), now)
             holder.tick(now)
             for (e in holder.drain()) if (e is Effect.Commit) holder.committed(e.id, CommitOutcome.Applied(step), now)
-            val told = PeerMessage.Told(1, true, false, 1.0, holder.summaryFor("p", now))
+            val told = PeerMessage.Told(1, true, Plan.NONE, 1.0, holder.summaryFor("p", now))
             val heard = PeerCodec.decode(okio.Buffer().write(PeerCodec.encode(told))) as PeerMessage.Told
             holder.propose(Round().place(heard.summary), now)
         }
--- a/src/main/kotlin/org/honeyjunction/app/Stamps.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Stamps.kt
@@ -15,6 +15,7 @@
     var term: () -> Long = { 0 }
     private var lineBegins = true
     private var offset = clock.wall() - clock.steady()
+    private var since = clock.steady()
 
     @Synchronized
     override fun write(b: Int) {
@@ -39,9 +40,10 @@
 
     private fun begin() {
         val moved = clock.wall() - clock.steady() - offset
-        // Both clocks wander within the bound; what is beyond it was set.
-        if (Math.abs(moved) > maxOf(2 * boundMs, LEAST_JUMP_MS)) {
+        // The time of day wanders within the bound, and the steady clock drifts by up to a thousandth; what is beyond both was set.
+        if (Math.abs(moved) > maxOf(2 * boundMs, LEAST_JUMP_MS) + (clock.steady() - since) / DRIFT) {
             offset += moved
+            since = clock.steady()
             out.write("${stamp()} WARN clock - clock-jump: the time of day moved by $moved ms against the steady clock\n".toByteArray())
         }
         out.write("${stamp()} ".toByteArray())
@@ -52,6 +54,7 @@
     companion object {
         private const val NEWLINE = '\n'.code
         private const val LEAST_JUMP_MS = 50L
+        private const val DRIFT = 1_000
 
         /** From now on all that is written to standard error is stamped. */
         fun install(node: String, boundMs: Long, clock: Clock = Clock): Stamps =
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
+import org.honeyjunction.core.admission.Gate
 import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.model.JobSpec
@@ -9,6 +10,7 @@
 import org.honeyjunction.core.model.Verdict
 import org.honeyjunction.core.model.judge
 import org.honeyjunction.io.WriteOutcome
+import org.honeyjunction.io.WriteRank
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.JobCodec
@@ -53,17 +55,25 @@
     private fun later(why: String, id: String) = later(why, retryAfterS(node.outageMs, id))
 
     private suspend fun submit(r: Request, forwarded: Boolean): Response {
+        // Whether it is let in is decided before the rest is read: a refusal must cost little.
+        val head = JobCodec.head(r.body)
+        head?.let { known(it.id) }?.let { return accepted(200, head.id, it) }
+        // Refused by the state service alone: the holder decides and takes the job.
+        val forward = !forwarded && node.stateRefused
+        val verdict = if (head == null || forward) null else node.admission.ask(head)
+        if (verdict is Gate.Verdict.Refused) return later(verdict.why, maxOf(verdict.retryAfterS, retryAfterS(node.outageMs, head!!.id)))
+        val rank = if (verdict is Gate.Verdict.Admitted && !verdict.credited) WriteRank.UNCREDITED else WriteRank.CREDITED
         val spec = try {
             JobCodec.spec(Json.readObject(r.body))
         } catch (e: MalformedException) {
             return Response(400, Json.error(e.message!!))
         }
-        known(spec.id)?.let { return accepted(200, spec, it) }
+        known(spec.id)?.let { return accepted(200, spec.id, it) }
         return when (val verdict = judge(spec)) {
             Verdict.UnknownYet -> later("not all is known yet that the job must be judged by")
             // What was accepted once stays accepted, even if it could not be today.
-            is Verdict.Never -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: Response(422, Json.error(verdict.why))
-            Verdict.Fits -> if (node.overloaded) later("too much is waiting to be written or to run") else accept(spec, r, forwarded)
+            is Verdict.Never -> stored(spec.id)?.let { accepted(200, spec.id, status(it)) } ?: Response(422, Json.error(verdict.why))
+            Verdict.Fits -> if (forward) forward(r) ?: later("the state service refuses this node", spec.id) else accept(spec, rank)
         }
     }
 
@@ -76,20 +86,18 @@
     /** Whether such a job was ever accepted. */
     suspend fun isKnown(id: String): Boolean = known(id) != null || stored(id) != null
 
-    private suspend fun accept(spec: JobSpec, r: Request, forwarded: Boolean): Response {
-        // Refused by the state service alone: the holder can still take the job.
-        if (!forwarded && node.stateRefused) return forward(r) ?: later("the state service refuses this node", spec.id)
+    private suspend fun accept(spec: JobSpec, rank: WriteRank): Response {
         val record = JobCodec.record(spec, node.settings.node, node.clock.wall(), JobStage.ACTIVE)
         val conditions = listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0))
-        return when (node.state.commit(conditions, listOf(Write(Keys.job(spec.id), record)))) {
-            is WriteOutcome.Applied -> accepted(201, spec, JobStatus(JobStage.ACTIVE, 0, 0))
-            WriteOutcome.Refused -> stored(spec.id)?.let { accepted(200, spec, status(it)) } ?: later("the job is being written")
+        return when (node.state.commit(conditions, listOf(Write(Keys.job(spec.id), record)), rank, spec.team)) {
+            is WriteOutcome.Applied -> accepted(201, spec.id, JobStatus(JobStage.ACTIVE, 0, 0))
+            WriteOutcome.Refused -> stored(spec.id)?.let { accepted(200, spec.id, status(it)) } ?: later("the job is being written")
             WriteOutcome.Unknown -> later("not known to be written", spec.id)
         }
     }
 
-    private fun accepted(status: Int, spec: JobSpec, job: JobStatus) =
-        Response(status, JobCodec.answer(spec.id, job, counts = false))
+    private fun accepted(status: Int, id: String, job: JobStatus) =
+        Response(status, JobCodec.answer(id, job, counts = false))
 
     /** Joined with other users' questions where it takes somebody else's answer; never with one that is on its way already. */
     private suspend fun poll(id: String): Response {
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -1,5 +1,7 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.admission.MaxMin
+import org.honeyjunction.core.admission.PlanMaker
 import org.honeyjunction.core.blame.Blame
 import org.honeyjunction.core.blame.JobMark
 import org.honeyjunction.core.blame.MachineHealth
@@ -273,6 +275,16 @@
     /** As many unfinished tasks as memory is meant for: more must wait outside. */
     val crowded: Boolean get() = state.activeTasks > tuning.maxTasks
 
+    /** Teams that have more unfinished tasks than their part by [weights] of what memory is meant for; nobody while there is room enough. */
+    fun crowdedTeams(weights: Map<String, Double>): Set<String> {
+        val room = tuning.maxTasks * ROOMY
+        if (state.activeTasks < room) return emptySet()
+        val tasks = state.active.values.groupBy { it.spec.team }.mapValues { (_, jobs) -> jobs.sumOf { it.spec.tasks }.toDouble() }
+        val teams = tasks.keys.toList()
+        val parts = MaxMin.share(room, DoubleArray(teams.size) { tasks.getValue(teams[it]) }, DoubleArray(teams.size) { weights[teams[it]] ?: PlanMaker.LEAST_WEIGHT })
+        return teams.filterIndexedTo(HashSet()) { i, team -> tasks.getValue(team) > parts[i] }
+    }
+
     /** Machines that should have reported by now, had their reports come through. */
     fun expectsReports(now: Long): Boolean =
         now - startedAt > state.cluster.reportMs * 3 && state.machines.any { it.phase in REPORTING }
@@ -346,6 +358,9 @@
         /** Some 70 bytes each: no line of an answer may be longer than 64 KiB (PROTOCOL). The rest follows with the next report. */
         const val MAX_FORGET = 600
         const val NEW_JOB_MS = 30L
+
+        /** Of the tasks that memory is meant for, how many there may be before teams are held to their parts. */
+        const val ROOMY = 0.7
         const val PREEMPTION_MS = 300L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/WriteShares.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/WriteShares.kt
@@ -12,30 +12,32 @@
 
     private val asked = HashMap<String, Asked>()
 
-    /** The share, in changes a second, of [node], where [queued] writes wait; [own] wait at the holder. */
-    fun grant(node: String, queued: Int, own: Int, now: Long): Double {
+    /**
+     * The share, in changes a second, of [node], where [queued] writes wait; [own] new jobs wait at the holder, which has to make [must] changes a second
+     * for what runs and ends.
+     */
+    fun grant(node: String, queued: Int, own: Int, must: Double, now: Long): Double {
         asked[node] = Asked(queued, now)
-        return follower(queued, own, now)
+        val total = waiting(own, now)
+        return if (total == 0) perS * fixed(leading = false, nodes) else perS * LEAST_FOLLOWER + moved(must) * queued / total
     }
 
-    /** The holder's own share. */
-    fun own(queued: Int, now: Long): Double {
+    /** The holder's own share: what it must, and of the rest by what waits. */
+    fun own(queued: Int, must: Double, now: Long): Double {
         val total = waiting(queued, now)
         if (total == 0) return perS * fixed(leading = true, nodes)
-        return perS * (LEAST_LEADER + moved * queued / total)
+        return leader(must) + moved(must) * queued / total
     }
 
-    private fun follower(queued: Int, own: Int, now: Long): Double {
-        val total = waiting(own, now)
-        return if (total == 0) perS * fixed(leading = false, nodes) else perS * (LEAST_FOLLOWER + moved * queued / total)
-    }
+    /** What is taken in has to be ended later: a holder that can't keep up with that would fall behind for ever. */
+    private fun leader(must: Double) = must.coerceIn(perS * LEAST_LEADER, perS * MOST_LEADER)
 
     private fun waiting(own: Int, now: Long): Int {
         asked.values.removeIf { now - it.at > LASTS_MS }
         return own + asked.values.sumOf { it.queued }
     }
 
-    private val moved get() = ALL - LEAST_LEADER - LEAST_FOLLOWER * (nodes - 1)
+    private fun moved(must: Double) = (perS * (ALL - LEAST_FOLLOWER * (nodes - 1)) - leader(must)).coerceAtLeast(0.0)
 
     companion object {
         const val LASTS_MS = 3_000L
@@ -44,6 +46,7 @@
         private const val ALL = 0.95
         private const val LEADER = 0.65
         private const val LEAST_LEADER = 0.3
+        private const val MOST_LEADER = 0.75
         private const val LEAST_FOLLOWER = 0.03
 
         /** The part of all changes that a node of [nodes] has while nobody shares them out. */
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -31,9 +31,24 @@
     data object Unknown : WriteOutcome
 }
 
+/** What goes first among writes that wait at one node: what runs goes first, and what comes in without credit last. */
+enum class WriteRank {
+    /** Pages of starts and results: starts wait for them. */
+    PAGE,
+
+    /** Jobs of those who have credit, which is less in sum than what the rest leaves. */
+    CREDITED,
+
+    /** What ends jobs, and all else. */
+    OTHER,
+
+    /** Jobs that are let in since there is room. */
+    UNCREDITED,
+}
+
 /** The client of the state service: keeps to its limits, and joins writes that wait at the same time. */
 class StateClient(private val loop: Loop, address: String, private val limits: StateLimits, clock: Clock) {
-    private class Pending(val conditions: List<Condition>, val writes: List<Write>, val result: CompletableDeferred<WriteOutcome>) {
+    private class Pending(val rank: WriteRank, val conditions: List<Condition>, val writes: List<Write>, val result: CompletableDeferred<WriteOutcome>) {
         val bytes = writes.sumOf { it.bytes } + (conditions.size + writes.size) * OVERHEAD
     }
 
@@ -41,10 +56,11 @@
     private val http = HttpClient(Connections(loop, most = 6), address, bodyLimit = 16 * 1024 * 1024)
     private val requests = Budget(limits.requestsPerS * SHARE, limits.requestsPerS * SHARE, clock)
     private val writes = Budget(limits.writesPerS, limits.writesPerS * BURST, clock)
-    private val first = ArrayDeque<Pending>()
-    private val pending = ArrayDeque<Pending>()
+    private val pending = WriteRank.entries.associateWith { Lanes<Pending>() }
+    private val queuedOf = IntArray(WriteRank.entries.size)
     private val arrived = Channel<Unit>(Channel.CONFLATED)
-    private var queued = 0
+    private val queued get() = queuedOf.sum()
+    private val otherWrites = RecentRate(clock)
 
     init {
         loop.scope.launch { writeAll() }
@@ -56,6 +72,18 @@
     /** How many writes wait. */
     val waiting: Int get() = queued
 
+    /** For how long, in seconds, a write of [rank] that comes now would wait for those before it. */
+    fun waitS(rank: WriteRank): Double = queuedOf.take(rank.ordinal + 1).sum() / writes.perS
+
+    /** How many new jobs wait. */
+    val newJobsWaiting: Int get() = queuedOf[WriteRank.CREDITED.ordinal] + queuedOf[WriteRank.UNCREDITED.ordinal]
+
+    /** How many changes a second this node may make. */
+    val sharePerS: Double get() = writes.perS
+
+    /** Changes a second that this node makes or should be making for what runs and ends: those of late, and what waits worked off in a few seconds. */
+    val otherPerS: Double get() = otherWrites.perS() + (queuedOf[WriteRank.PAGE.ordinal] + queuedOf[WriteRank.OTHER.ordinal]) / WORK_OFF_S
+
     /** How many changes a second this node may make; together the nodes keep to what the state service allows. */
     fun share(perS: Double) = writes.setRate(perS)
 
@@ -107,19 +135,24 @@
         return if (r.status == 409) null else parse { StateCodec.revision(ok(r).body) }
     }
 
-    /** Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. */
-    suspend fun commit(conditions: List<Condition>, writes: List<Write>, before: Boolean = false): WriteOutcome {
-        val p = Pending(conditions, writes, CompletableDeferred())
-        if (pending.size >= MAX_PENDING) return WriteOutcome.Unknown
-        (if (before) first else pending).addLast(p)
-        queued += writes.size
+    /**
+     * Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. Writes of one rank take turns by [lane] (a
+     * team): many jobs of one team that end together do not keep the others' users waiting for their answers.
+     */
+    suspend fun commit(conditions: List<Condition>, writes: List<Write>, rank: WriteRank = WriteRank.OTHER, lane: String = ""): WriteOutcome {
+        val p = Pending(rank, conditions, writes, CompletableDeferred())
+        val queue = pending.getValue(rank)
+        if (queue.size >= MAX_PENDING) return WriteOutcome.Unknown
+        queue.addLast(lane, p)
+        queuedOf[rank.ordinal] += writes.size
+        if (rank == WriteRank.PAGE || rank == WriteRank.OTHER) otherWrites.note(writes.size)
         arrived.trySend(Unit)
         return p.result.await()
     }
 
-    fun census() = "writes: ${first.size} and ${pending.size} wait, $queued in all, ${writes.perS} a second"
+    fun census() = "writes: ${pending.values.joinToString(" ") { "${it.size}" }} wait, $queued in all, ${writes.perS} a second"
 
-    private fun next(): ArrayDeque<Pending>? = first.takeIf { it.isNotEmpty() } ?: pending.takeIf { it.isNotEmpty() }
+    private fun next(): Lanes<Pending>? = pending.values.firstOrNull { !it.isEmpty() }
 
     private suspend fun writeAll() {
         while (true) {
@@ -178,7 +211,7 @@
     }
 
     private fun finish(p: Pending, outcome: WriteOutcome) {
-        queued -= p.writes.size
+        queuedOf[p.rank.ordinal] -= p.writes.size
         p.result.complete(outcome)
     }
 
@@ -224,6 +257,7 @@
         const val MAX_TRIES = 4
         const val BUSY_MS = 120L
         const val CONGESTED_S = 2.0
+        const val WORK_OFF_S = 5.0
 
         /** Shares of the changes a second; a part is left for terms, leases and what the clocks differ by. */
         const val BURST = 0.4
--- a/src/main/kotlin/org/honeyjunction/wire/JobCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/JobCodec.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.wire
 
+import com.fasterxml.jackson.core.JsonToken
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
 import org.honeyjunction.core.control.JobStatus
@@ -9,6 +10,10 @@
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
+import java.io.IOException
+
+/** What has to be known of a job to decide whether it is let in. */
+class JobHead(val id: String, val team: String, val jobClass: String, val priority: Priority)
 
 /** Jobs as users send them and as the state service keeps them. */
 object JobCodec {
@@ -17,6 +22,7 @@
     private val priorities = mapOf(
         "critical" to Priority.PRODUCTION, "high" to Priority.HIGH, "normal" to Priority.NORMAL, "low" to Priority.LOW,
     )
+    private val HEAD = setOf("Ref", "Colony", "Comb", "Precedence")
     private const val MAX_TASKS = 100_000L
     private const val MAX_TYPES = 32
 
@@ -35,6 +41,25 @@
         )
     }
 
+    /** Read without the rest, which costs several times as much; null where it is not to be had this way, whatever is wrong. */
+    fun head(body: ByteArray): JobHead? {
+        val seen = HashMap<String, String>()
+        try {
+            Json.parser(body).use { p ->
+                if (p.nextToken() != JsonToken.START_OBJECT) return null
+                while (seen.size < HEAD.size && p.nextToken() == JsonToken.FIELD_NAME) {
+                    val name = p.currentName()
+                    if (p.nextToken() == JsonToken.VALUE_STRING && name in HEAD) seen[name] = p.text else p.skipChildren()
+                }
+            }
+        } catch (_: IOException) {
+            return null
+        }
+        return JobHead(
+            seen["Ref"]?.takeIf(::isId) ?: return null, seen["Colony"] ?: return null, seen["Comb"] ?: return null, priorities[seen["Precedence"]] ?: return null,
+        )
+    }
+
     private fun types(o: ObjectNode): List<String>? {
         if (o.given("HiveKinds") == null) return null
         val list = o.list("HiveKinds")
--- a/src/main/kotlin/org/honeyjunction/wire/Json.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/Json.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.wire
 
+import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.DeserializationFeature
 import com.fasterxml.jackson.databind.JsonNode
@@ -26,6 +27,9 @@
 
     fun write(node: JsonNode): ByteArray = mapper.writeValueAsBytes(node)
 
+    /** For those who want only the beginning. */
+    fun parser(bytes: ByteArray): JsonParser = mapper.createParser(bytes)
+
     fun read(bytes: ByteArray): JsonNode =
         try {
             reader.readTree(bytes)
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -2,6 +2,10 @@
 
 import okio.Buffer
 import okio.EOFException
+import org.honeyjunction.core.admission.Asked
+import org.honeyjunction.core.admission.Epoch
+import org.honeyjunction.core.admission.Flow
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Priority
@@ -16,14 +20,19 @@
 
 /** What controllers say to each other. Each question gets one answer on the same connection. */
 sealed interface PeerMessage {
-    /** A controller asks for the summary of its jobs; [workersHeard] tells how many reports it got lately, [writesQueued] how many writes wait. */
-    data class Ask(val node: String, val term: Long, val workersHeard: Int, val writesQueued: Int) : PeerMessage
+    /**
+     * A controller asks for the summary of its jobs; [workersHeard] tells how many reports it got lately, [writesQueued] how many writes wait,
+     * [asked] how many jobs a second its users bring, and [plan] which plan it has, by which it may let in [grantedPerS].
+     */
+    data class Ask(
+        val node: String, val term: Long, val workersHeard: Int, val writesQueued: Int, val asked: List<Asked>, val plan: Epoch, val grantedPerS: Double,
+    ) : PeerMessage
 
     /**
-     * [certain]: the holder is sure of its term, so the state service answers it; [crowded]: it takes no more jobs;
-     * [writesPerS]: the asking node's share of the state service's changes.
+     * [certain]: the holder is sure of its term, so the state service answers it; [plan]: whose jobs the asking node may let in;
+     * [writesPerS]: its share of the state service's changes.
      */
-    class Told(val term: Long, val certain: Boolean, val crowded: Boolean, val writesPerS: Double, val summary: Summary) : PeerMessage
+    class Told(val term: Long, val certain: Boolean, val plan: Plan, val writesPerS: Double, val summary: Summary) : PeerMessage
 
     data class NotHolder(val term: Long) : PeerMessage
 
@@ -60,7 +69,8 @@
         val body = Buffer()
         when (m) {
             is PeerMessage.Ask -> body.writeByte(ASK).text(m.node).writeLong(m.term).writeInt(m.workersHeard).writeInt(m.writesQueued)
-            is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).flag(m.crowded).amount(m.writesPerS).summary(m.summary)
+                .all(m.asked) { flow(it.flow).flag(it.urgent).amount(it.perS) }.epoch(m.plan).amount(m.grantedPerS)
+            is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).plan(m.plan).amount(m.writesPerS).summary(m.summary)
             is PeerMessage.NotHolder -> body.writeByte(NOT_HOLDER).writeLong(m.term)
             is PeerMessage.Propose -> body.writeByte(PROPOSE).writeLong(m.term).all(m.proposals) {
                 writeInt(it.job).writeInt(it.task).writeInt(it.machine)
@@ -92,8 +102,8 @@
     }
 
     private fun read(b: Buffer): PeerMessage = when (val kind = b.readByte().toInt()) {
-        ASK -> PeerMessage.Ask(b.text(), b.readLong(), b.readInt(), b.readInt())
-        TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.flag(), b.amount(), b.summary())
+        ASK -> PeerMessage.Ask(b.text(), b.readLong(), b.readInt(), b.readInt(), b.all { Asked(flow(), flag(), amount()) }, b.epoch(), b.amount())
+        TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.plan(), b.amount(), b.summary())
         NOT_HOLDER -> PeerMessage.NotHolder(b.readLong())
         PROPOSE -> PeerMessage.Propose(b.readLong(), b.all { Proposal(readInt(), readInt(), readInt()) })
         ACCEPTED -> PeerMessage.Accepted(b.readInt())
@@ -166,6 +176,19 @@
 
     private fun Buffer.priority() = Priority.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("priority")
 
+    private fun Buffer.flow(f: Flow) = text(f.team).text(f.jobClass)
+
+    private fun Buffer.flow() = Flow(text(), text())
+
+    private fun Buffer.epoch(e: Epoch) = writeLong(e.term).writeLong(e.number)
+
+    private fun Buffer.epoch() = Epoch(readLong(), readLong())
+
+    private fun Buffer.plan(p: Plan) = epoch(p.epoch).writeLong(p.lastsMs).all(p.grants.entries.toList()) { (f, perS) -> flow(f).amount(perS) }.amount(p.restPerS)
+        .all(p.crowded.toList()) { text(it) }
+
+    private fun Buffer.plan() = Plan(epoch(), readLong(), all { flow() to amount() }.toMap(), amount(), all { text() }.toSet())
+
     private fun Buffer.stage() = JobStage.entries.getOrNull(readByte().toInt()) ?: throw MalformedException("stage")
 
     private fun Buffer.resources(r: Resources) = amount(r.cpus).amount(r.gpus).amount(r.memoryGb)
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -19,6 +19,7 @@
         "core.boot,     '',                                         java.util java.lang kotlin org.HdrHistogram",
         "core.served,   '',                                         java.util java.lang kotlin",
         "core.results,  '',                                         java.util java.lang kotlin",
+        "core.admission, '',                                        java.util java.lang kotlin",
         "core.polls,    '',                                         java.util java.lang kotlin",
         "core.model,    'core.evidence core.boot',                  java.util java.lang kotlin org.agrona",
         "core.rules,    'core.model',                               java.util java.lang java.math kotlin",
--- a/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
@@ -1,17 +1,21 @@
 package org.honeyjunction.app
 
+import com.fasterxml.jackson.databind.node.ObjectNode
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.honeyjunction.app.local.LocalCluster
 import org.honeyjunction.app.local.LocalSettings
 import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
 import org.honeyjunction.rules.RulesDocument
 import org.honeyjunction.standin.Fault
 import org.honeyjunction.standin.JobFile
 import org.honeyjunction.standin.PlannedJob
+import org.honeyjunction.standin.Store
 import org.honeyjunction.standin.Users
+import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.Json
 import org.honeyjunction.wire.count
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -22,7 +26,7 @@
 
 /** Real controllers on loopback. */
 class LocalClusterTest {
-    private fun settings() = LocalSettings(Json.readObject(javaClass.classLoader.getResource("local/settings.json")!!.readBytes()), null, 10)
+    private fun settings(change: (ObjectNode) -> Unit = {}) = LocalSettings(Json.readObject(javaClass.classLoader.getResource("local/settings.json")!!.readBytes()).also(change), null, 10)
 
     private fun jobs(text: String): List<PlannedJob> = JobFile.parse(Json.readObject(text.toByteArray()))
 
@@ -74,6 +78,30 @@
         }
     }
 
+    @Test
+    fun `more jobs than can be recorded - each is let in, done, and never told less after the holder was lost, and what was recorded in place is moved`() {
+        val planned = jobs("""{"jobs":[${List(60) { job(it * 0.05, "q", tasks = 1) }.joinToString()}]}""")
+        val scarce = settings { o -> (o.get("state") as ObjectNode).put("write_rps", 20.0) }
+        using(LocalCluster(scarce, 3, Tuning(idleMs = 6_000), 5, planned, {})) { cluster ->
+            val store = cluster.loopback.store
+            var inPlace = 0
+            run(cluster, planned, listOf("at 6s kill holder for 2s", "at 8s state outage for 3s").map(Fault::parse), withinS = 90) {
+                thread(isDaemon = true) {
+                    while (cluster.loopback.now() < 60_000) {
+                        inPlace = maxOf(inPlace, runBlocking { cluster.loopback.loop.scope.async { finalsInPlace(store) }.await() })
+                        Thread.sleep(50)
+                    }
+                }
+            }
+            assertTrue(inPlace > 0, "changes were short enough for records in place")
+            val until = cluster.loopback.now() + 40_000
+            while (runBlocking { cluster.loopback.loop.scope.async { finalsInPlace(store) }.await() } > 0 && cluster.loopback.now() < until) Thread.sleep(200)
+            assertEquals(0, runBlocking { cluster.loopback.loop.scope.async { finalsInPlace(store) }.await() })
+        }
+    }
+
+    private fun finalsInPlace(store: Store) = store.range("j/", null, 1_000).first.count { JobCodec.stored(it.second.value, 0).stage != JobStage.ACTIVE }
+
     @Test
     fun `a controller is killed while it applies rules - one whole version is in force everywhere`() {
         val planned = jobs("""{"jobs":[${job(3.0, "q")}]}""")
--- a/src/test/kotlin/org/honeyjunction/core/RoundTimes.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RoundTimes.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core
 
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobSpec
@@ -75,7 +76,7 @@
             List(s.tasks) { Row(j, it, 0, s.priority, 5_000, s.need, j % 6, s.imageGb, -1, -1, true, false, if (s.kind == JobKind.GANG) s.tasks else 0, true, shape = book.shape(s)) }
         }.take(256)
         val summary = Summary(rooms, listOf(TeamShare(1.0, machines)), machines * 4, rows, book.table)
-        return summary to PeerCodec.encode(PeerMessage.Told(1, true, false, 1.0, summary)).size
+        return summary to PeerCodec.encode(PeerMessage.Told(1, true, Plan.NONE, 1.0, summary)).size
     }
 
     private companion object {
--- a/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RuledRoundTest.kt
@@ -6,6 +6,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobSpec
@@ -73,7 +74,7 @@
         /** As another controller sees it: through the wire. */
         fun place(rooms: List<Room>, rows: List<Row>, patienceMs: Long = 0): List<Proposal> {
             val summary = Summary(rooms, listOf(TeamShare(1.0, 0)), rooms.size, rows, book.table)
-            val told = PeerCodec.decode(okio.Buffer().write(PeerCodec.encode(PeerMessage.Told(1, true, false, 1.0, summary)))) as PeerMessage.Told
+            val told = PeerCodec.decode(okio.Buffer().write(PeerCodec.encode(PeerMessage.Told(1, true, Plan.NONE, 1.0, summary)))) as PeerMessage.Told
             return Round(CostSettings(packing = 0.0, spotPreference = 0.0, agingPerS = 0.0, patienceMs = patienceMs)).place(told.summary)
         }
     }
--- a/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
+++ b/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode
 import okio.Buffer
+import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.control.Cause
 import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.control.TaskState
@@ -87,7 +88,7 @@
     private fun frame(): ByteArray {
         val row = Row(1, 2, 0, Priority.HIGH, 99, Resources(1.0, 2.0, 3.0), 4, 5.5, 3, 1, true, false, 2, true, listOf(1, 0))
         val summary = Summary(listOf(Room(3, Resources(8.0, 1.0, 2.0), 0, 1, true, intArrayOf(4, 9))), listOf(TeamShare(2.0, 7)), 4, listOf(row))
-        return PeerCodec.encode(PeerMessage.Told(5, true, false, 2.5, summary))
+        return PeerCodec.encode(PeerMessage.Told(5, true, Plan.NONE, 2.5, summary))
     }
 
     @Test
