Tests of turns between lanes and of a job's head

Need: both decide what a flood costs, and had no test of their own. Tables: who is next, whatever came when; what is read of a job that is cut off, out of order or no job.

--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/io/LanesTest.kt
@@ -0,0 +1,27 @@
+package org.honeyjunction.io
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+class LanesTest {
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "one lane is a queue,                        a1 a2 a3,          a1 a2 a3",
+        "lanes take turns whoever has more,          a1 a2 a3 a4 b1,    a1 b1 a2 a3 a4",
+        "three lanes,                                a1 a2 b1 c1 c2,    a1 b1 c1 a2 c2",
+        "who comes later waits for one of each lane, a1 a2 a3 - b1 b2,  a1 a2 b1 a3 b2",
+    )
+    fun `who is next`(case: String, added: String, taken: String) {
+        val lanes = Lanes<String>()
+        val out = ArrayList<String>()
+        for (item in added.split(' ')) if (item == "-") out += lanes.removeFirst() else lanes.addLast(item.take(1), item)
+        while (!lanes.isEmpty()) {
+            val first = lanes.first()
+            out += lanes.removeFirst().also { assertEquals(first, it) }
+        }
+        assertEquals(taken, out.joinToString(" "), case)
+        assertTrue(lanes.size == 0)
+    }
+}
--- a/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
+++ b/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
@@ -124,4 +124,21 @@
         val bad = PeerCodec.encode(PeerMessage.Stages(mapOf("j-1" to JobStatus(JobStage.ACTIVE, 1, 1)))).also { it[it.size - 9] = 99 }
         assertThrows(MalformedException::class.java) { PeerCodec.decode(Buffer().write(bad)) }
     }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', value = [
+        "whole                          | {good}                                                                           | j-000412 train vision HIGH",
+        "in any order, after more       | {'Cells':[1,{'Ref':'no'}],'Precedence':'low','Comb':'c','Colony':'t','Ref':'j-1'} | j-1 c t LOW",
+        "cut off after what is needed   | {'Ref':'j-1','Comb':'c','Colony':'t','Precedence':'low',                         | j-1 c t LOW",
+        "cut off before                 | {'Ref':'j-1','Comb':'c','Colony':'t'                                             | null",
+        "no id                          | {'Ref':'x','Comb':'c','Colony':'t','Precedence':'low'}                           | null",
+        "not a text                     | {'Ref':'j-1','Comb':7,'Colony':'t','Precedence':'low'}                           | null",
+        "no such priority               | {'Ref':'j-1','Comb':'c','Colony':'t','Precedence':'now'}                         | null",
+        "no object                      | ['Ref']                                                                          | null",
+        "no JSON                        | Ref                                                                              | null",
+    ])
+    fun `the head of a job`(case: String, body: String, expected: String) {
+        val head = JobCodec.head((if (body == "{good}") good else body.replace('\'', '"')).toByteArray())
+        assertEquals(expected, head?.run { "$id $jobClass $team $priority" }.toString(), case)
+    }
 }
