--- a/src/main/kotlin/org/honeyjunction/app/Admission.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Admission.kt
@@ -66,6 +66,9 @@
         return maxOf(all * LEAST_PART, all - node.state.otherPerS)
     }
 
+    /** At the holder: users bring more jobs than can be recorded. */
+    val overAsked: Boolean get() = maker?.overAsked(capacityPerS(), node.clock.steady()) == true
+
     /** Null: not for this door, since such a team does not exist. */
     fun ask(head: JobHead): Gate.Verdict? {
         if (cluster.teams.none { it.name == head.team } || head.jobClass.length > MOST_NAME) return null
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -47,6 +47,7 @@
     private val sockets: () -> String = { "" },
     /** Null: final states are always recorded where they are kept. */
     private val finals: FinalRecords? = null,
+    private val overAsked: () -> Boolean = { false },
 ) {
     private val log = LoggerFactory.getLogger(HolderDriver::class.java)
     private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
@@ -184,7 +185,7 @@
 
     private suspend fun commit(e: Effect.Commit) {
         val fence = Condition(Keys.LEAD, term.leadVersion)
-        val inPlace = finals != null && e.changes.singleOrNull() is Change.JobOver && finals.inPlace(state.waitS(WriteRank.OTHER))
+        val inPlace = finals != null && e.changes.singleOrNull() is Change.JobOver && finals.inPlace(state.waitS(WriteRank.OTHER), overAsked())
         val outcome = when (val written = write(listOf(fence) + e.changes.mapNotNull(::condition), e.changes, inPlace)) {
             is WriteOutcome.Applied -> CommitOutcome.Applied(written.revision)
             WriteOutcome.Refused -> explain(e.changes)
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -254,7 +254,7 @@
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
             rules?.current?.set ?: RuleSet.NONE,
         )
-        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals)
+        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals, admission::overAsked)
         driver = current
         admission.termBegins(term.number)
         shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
--- a/src/main/kotlin/org/honeyjunction/core/admission/FinalRecords.kt
+++ b/src/main/kotlin/org/honeyjunction/core/admission/FinalRecords.kt
@@ -12,8 +12,8 @@
     private val records = LinkedHashMap<String, State>()
     private var nextAt = Long.MIN_VALUE / 2
 
-    /** Whether the next final state is written in place, while what waits takes [waitS] seconds to be written. */
-    fun inPlace(waitS: Double): Boolean = waitS >= SHORT_S && records.size < most
+    /** Whether the next final state is written in place: what waits takes [waitS] seconds to be written, or ([overAsked]) users bring more jobs than can be recorded. */
+    fun inPlace(waitS: Double, overAsked: Boolean): Boolean = (overAsked || waitS >= SHORT_S) && records.size < most
 
     /** A final state stands in place, written by this holder or by an earlier one. */
     fun placed(job: String) {
--- a/src/main/kotlin/org/honeyjunction/core/admission/PlanMaker.kt
+++ b/src/main/kotlin/org/honeyjunction/core/admission/PlanMaker.kt
@@ -57,6 +57,9 @@
         return plan
     }
 
+    /** Whether users of all nodes together, those who come back among them, bring more than [perS] jobs a second. */
+    fun overAsked(perS: Double, now: Long): Boolean = heard.values.filter { now - it.at <= LASTS_MS }.sumOf { h -> h.asked.sumOf { it.perS } } > perS
+
     /** Jobs a second of each flow over all nodes. */
     fun parts(perS: Double, now: Long): Map<Flow, Double> {
         val byTeam = heard.values.filter { now - it.at <= LASTS_MS }.flatMap { it.asked }.groupBy { it.flow.team }
--- a/src/test/kotlin/org/honeyjunction/core/admission/FinalRecordsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/admission/FinalRecordsTest.kt
@@ -7,15 +7,16 @@
 class FinalRecordsTest {
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        // case, seconds that writes wait, records in place, in place
-        "nothing waits,                   0.0, 0, false",
-        "changes are short,               1.0, 2, true",
-        "as many as a next holder reads,  9.0, 3, false",
+        // case, seconds that writes wait, more jobs than can be recorded, records in place, in place
+        "nothing waits,                   0.0, false, 0, false",
+        "changes are short,               1.0, false, 2, true",
+        "users bring too many,            0.0, true,  2, true",
+        "as many as a next holder reads,  9.0, true,  3, false",
     )
-    fun `what is written in place`(case: String, waitS: Double, there: Int, expected: Boolean) {
+    fun `what is written in place`(case: String, waitS: Double, overAsked: Boolean, there: Int, expected: Boolean) {
         val finals = FinalRecords(20.0, most = 3)
         repeat(there) { finals.placed("j-$it") }
-        assertEquals(expected, finals.inPlace(waitS), case)
+        assertEquals(expected, finals.inPlace(waitS, overAsked), case)
     }
 
     @ParameterizedTest(name = "{0}")
