A class's largest jobs count by themselves among those served

Small jobs that are all served hid large ones that never start. Sizes are told apart by powers of two; the largest of each class is watched, told in the census and by explain, and handed to later leaders like classes and teams.

--- a/src/main/kotlin/org/honeyjunction/core/served/Served.kt
+++ b/src/main/kotlin/org/honeyjunction/core/served/Served.kt
@@ -1,10 +1,21 @@
 package org.honeyjunction.core.served
 
-/** Whose share is counted: all jobs of a class, or of a team. */
+/** Whose share is counted: all jobs of a class, of a team, or a class's jobs of one size. */
 data class Group(val of: Of, val name: String) {
-    enum class Of { CLASS, TEAM }
+    enum class Of { CLASS, TEAM, SIZE }
 
-    override fun toString() = "${of.name.lowercase()} $name"
+    override fun toString() = if (of == Of.SIZE) "class ${name.substringBeforeLast(SIZE)}'s largest, of ${name.substringAfterLast(SIZE)} tasks and more" else "${of.name.lowercase()} $name"
+
+    companion object {
+        private const val SIZE = '/'
+
+        /** Sizes are told apart by powers of two. */
+        fun ofSize(jobClass: String, tasks: Int) = Group(Of.SIZE, "$jobClass$SIZE${tasks.takeHighestOneBit()}")
+
+        /** Of the sizes of each class only the largest, where there are several: a class of one size says it all as a class. */
+        fun largest(all: Set<Group>): Set<Group> = all.filter { it.of == Of.SIZE }.groupBy { it.name.substringBeforeLast(SIZE) }.values
+            .filter { it.size > 1 }.mapTo(HashSet()) { sizes -> sizes.maxBy { it.name.substringAfterLast(SIZE).toInt() } }
+    }
 }
 
 /** Jobs of one group: [accepted] ones that have had time to start, how many of those [started], and how many are [done]. */
@@ -21,7 +32,9 @@
 }
 
 /** A job as it counts: its groups, whether a task of it has ever run, and how long it has been accepted, in milliseconds. */
-class Counted(val jobClass: String, val team: String, val started: Boolean, val ageMs: Long)
+class Counted(jobClass: String, team: String, val started: Boolean, val ageMs: Long, tasks: Int = 1) {
+    val groups = listOf(Group(Group.Of.CLASS, jobClass), Group(Group.Of.TEAM, team), Group.ofSize(jobClass, tasks))
+}
 
 /**
  * The served share of each class and each team, as users count: of the jobs that were accepted and have had [graceMs] to start, how many
@@ -34,7 +47,7 @@
     fun over(job: Counted, done: Boolean) {
         if (!done && !job.started && job.ageMs < graceMs) return
         val tally = Tally(1, if (job.started || done) 1 else 0, if (done) 1 else 0)
-        groups(job).forEach { over.merge(it, tally, Tally::plus) }
+        job.groups.forEach { over.merge(it, tally, Tally::plus) }
     }
 
     /** With the jobs that are not over yet. */
@@ -43,15 +56,16 @@
         for (job in active) {
             if (!job.started && job.ageMs < graceMs) continue
             val tally = Tally(1, if (job.started) 1 else 0, 0)
-            groups(job).forEach { all.merge(it, tally, Tally::plus) }
+            job.groups.forEach { all.merge(it, tally, Tally::plus) }
         }
-        return all
+        return told(all)
     }
 
-    private fun groups(job: Counted) = listOf(Group(Group.Of.CLASS, job.jobClass), Group(Group.Of.TEAM, job.team))
+    /** Without the sizes that are not the largest of their class. */
+    private fun told(all: Map<Group, Tally>): Map<Group, Tally> = Group.largest(all.keys).let { largest -> all.filterKeys { it.of != Group.Of.SIZE || it in largest } }
 
-    /** What a later holder is told; the largest groups, where there are very many. */
-    fun marks(): Map<Group, Tally> = over.entries.sortedByDescending { it.value.accepted }.take(MOST_MARKS).associate { it.key to it.value }
+    /** What a later leader is told; the largest groups, where there are very many. */
+    fun marks(): Map<Group, Tally> = told(over).entries.sortedByDescending { it.value.accepted }.take(MOST_MARKS).associate { it.key to it.value }
 
     fun restore(marks: Map<Group, Tally>) = marks.forEach { (group, tally) -> over.merge(group, tally, Tally::plus) }
 
--- a/src/test/kotlin/org/honeyjunction/core/ServedTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/ServedTest.kt
@@ -33,6 +33,27 @@
         assertEquals(listOf(accepted, ran, starved), listOf(tally.accepted, tally.started, tally.starved), case)
     }
 
+    /** Small jobs that are all served do not hide the large ones that never start. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "the largest never start,      5, 0, true",
+        "half of the largest do,       2, 2, false",
+        "a few of them say nothing,    3, 0, false",
+    )
+    fun `the largest jobs of a class count by themselves`(case: String, waiting: Int, started: Int, starved: Boolean) {
+        val jobs = List(60) { Counted("c", "t", true, 60_000, 1 + it % 4) } + List(waiting) { Counted("c", "t", false, 60_000, 64 + it) } + List(started) { Counted("c", "t", true, 60_000, 70) }
+        val all = Served(10_000).tallies(jobs.asSequence())
+        assertEquals(setOf(Group.ofSize("c", 64)), all.keys.filterTo(HashSet()) { it.of == Group.Of.SIZE }, "only the largest size is told")
+        assertEquals(starved, all.getValue(Group.ofSize("c", 100)).starved, case)
+        assertEquals(false, all.getValue(ofClass).starved, case)
+        assertEquals("class c's largest, of 64 tasks and more", Group.ofSize("c", 127).toString())
+    }
+
+    @Test
+    fun `a class of one size is told as a class`() {
+        assertEquals(emptySet<Group>(), Served(1).tallies(sequenceOf(job(true, 5), job(false, 9))).keys.filterTo(HashSet()) { it.of == Group.Of.SIZE })
+    }
+
     @Test
     fun `jobs that are over are handed on, and counted once`() {
         val first = Served(10_000)
