Renewing workers' leases has an end, and what is confirmed as cancelled can't be kept alive by a former leader

Cause: a leader whom the state service refuses alone answered its workers without an end. Another could win the term, confirm cancellations, and lose the state service for longer than cancel_s; tasks that still reported to the first outlived their time.

A cancellation is confirmed at once where every machine that may have the job has shown the term's token, else 60 s after the term began; a leader answers workers for no longer than leaves no lease beyond the first cancellation it may not know; the other controllers' words that no later term is known make it longer.

--- a/src/main/kotlin/org/honeyjunction/app/Election.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Election.kt
@@ -103,6 +103,12 @@
         term = maxOf(term, seen)
     }
 
+    /** [leader] made known that it won [seen], or another controller that knows of it did. */
+    fun told(leader: String, seen: Long) {
+        if (seen > term) holder = leader.ifEmpty { null }
+        sawTerm(seen)
+    }
+
     private companion object {
         const val MARGIN_MS = 250L
         const val RETRY_MS = 250L
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.admission.FinalRecords
 import org.honeyjunction.core.control.Change
-import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Holder
@@ -289,7 +288,7 @@
     private suspend fun send(e: Effect.Send) {
         val client = HttpClient(workers, e.address, bodyLimit = 256 * 1024)
         try {
-            val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS, still(withinLease = e.commands.any { it is Command.Start }))
+            val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS, still(withinLease = !e.harmless))
             when (r.status) {
                 200 -> holder.commandExecuted(e.id, WorkerCodec.report(r.body), clock.steady())
                 409 -> holder.commandRejected(e.id, WorkerCodec.report(r.body), clock.steady())
--- a/src/main/kotlin/org/honeyjunction/app/Main.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Main.kt
@@ -73,6 +73,7 @@
         } catch (e: IOException) {
             return complain(e.message!!, Status.BAD_FILE)
         }
+        settings.warnings.forEach { System.err.println("honeyjunction: $file: $it") }
         if (check) {
             println("$file is good")
             return Status.OK
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -55,6 +55,7 @@
     private val cloud = CloudClient(loop, settings.cloud, settings.cloudRps, clock)
     private val election = Election(settings.node, state, clock, tuning.leaseMs)
     private val peers = settings.peers.associate { it.name to PeerClient(loop, it.address) }
+    private val vouching = Vouching(settings.node, peers, clock, ::learnTerm)
     private val holderWatch = HolderWatch(clock.steady())
     val admission = Admission(this)
     val users = UserApi(this)
@@ -252,7 +253,7 @@
         }
         val holder = Holder(
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
-            rules?.current?.set ?: RuleSet.NONE,
+            rules?.current?.set ?: RuleSet.NONE, peers.keys,
         )
         val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals, admission::overAsked)
         driver = current
@@ -264,6 +265,7 @@
             holder.useJobRules(NomadHolder.rules(registry))
             current.alongside("registered jobs") { NomadHolder(this, registry, current).run() }
         }
+        current.alongside("vouching") { vouching.run(current) }
         current.start(jobsFrom)
         log.info(
             "term-held: {} after {} ms: {} jobs, {} machines", term.number, clock.steady() - now,
@@ -288,6 +290,13 @@
         }
     }
 
+    /** A controller made a term known; whoever leads an earlier one is its leader no more, and names the new one to workers. */
+    private fun learnTerm(term: Long, leader: String) {
+        if (driver.let { it != null && term > it.term.number }) stepDown("term $term is known${if (leader.isEmpty()) "" else ", of $leader"}")
+        election.told(leader, term)
+        holderWatch.named(election.holder, clock.steady())
+    }
+
     private fun stepDown(reason: String) {
         val current = driver ?: return
         log.warn("term-given-up: {}: {}", current.term.number, reason)
@@ -393,8 +402,7 @@
         is PeerMessage.Ask -> {
             heardPeerAt = clock.steady()
             val current = driver
-            if (current != null && m.term > current.term.number) stepDown("${m.node} knows a higher term")
-            election.sawTerm(m.term)
+            learnTerm(m.term, "")
             if (current != null) resignIfDeaf(current, m)
             driver?.let {
                 val share = shares.grant(m.node, m.writesQueued, state.newJobsWaiting, state.otherPerS, clock.steady())
@@ -415,12 +423,16 @@
             val r = if (isHolder) asked(Request(m.method, m.path, m.body), forwarded = true) else Response(503)
             PeerMessage.Answer(r.status, r.retryAfterS ?: 0, r.body)
         }
+        is PeerMessage.Vouch -> {
+            learnTerm(m.term, m.node)
+            vouching.answer(election.term, holderName)
+        }
         is PeerMessage.Polls -> {
             val sure = certainHolder?.holder
             if (sure == null) PeerMessage.NotHolder(election.term)
             else PeerMessage.Stages(m.jobs.mapNotNull { id -> sure.certainStatus(id)?.let { id to it } }.toMap())
         }
-        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer, is PeerMessage.Stages ->
+        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer, is PeerMessage.Stages, is PeerMessage.Vouched ->
             PeerMessage.NotHolder(election.term)
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/Settings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Settings.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.app
 
 import com.fasterxml.jackson.databind.JsonNode
+import org.honeyjunction.core.evidence.RenewalBound
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Names
 import org.honeyjunction.core.model.Resources
@@ -37,6 +38,13 @@
     /** The time of day lies within so many milliseconds of the true one. */
     val skewMs: Long = 0,
 ) {
+    /** What is no mistake but leaves the service no room, a line each. */
+    val warnings: List<String>
+        get() = listOfNotNull(
+            "$WORKERS: cancel_s ${cluster.cancelMs / 1000.0} leaves no room beside lease_s ${cluster.leaseMs / 1000.0}: a cancellation is confirmed only when all tasks of the job are gone"
+                .takeIf { RenewalBound.roomMs(cluster.cancelMs, cluster.leaseMs) <= 0 },
+        )
+
     companion object {
         fun read(file: Path): Settings = parse(Json.readObject(Files.bytes(file)))
 
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -27,7 +27,7 @@
 )
 
 /** What the term holder knows: jobs, machines, and which task is, or might be, where. Totals are kept here alone. */
-class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long, startedAt: Long = 0) {
+class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long, val startedAt: Long = 0) {
     private val jobSlots = ArrayList<Job?>()
     private val jobIndex = Names()
     val active = LinkedHashMap<String, Job>()
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.core.blame.MachineHealth
 import org.honeyjunction.core.boot.BootTimes
 import org.honeyjunction.core.boot.Kind
+import org.honeyjunction.core.evidence.RenewalBound
 import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.evidence.TermDoor
 import org.honeyjunction.core.model.Cluster
@@ -47,9 +48,12 @@
     wallNow: Long,
     listLagMs: Long,
     rules: RuleSet = RuleSet.NONE,
+    /** The other controllers, any of whom may win a later term. */
+    others: Collection<String> = emptyList(),
 ) {
     val state = ClusterState(cluster, tuning, term, startedAt).apply { use(rules) }
     private val ledger = Ledger(state)
+    private val renewal = RenewalBound(others, RenewalBound.slackMs(cluster.cancelMs, cluster.leaseMs))
     private val blame = Blame()
     private val served = Served(SERVE_WITHIN_BOOTS * (cluster.types.values.maxOfOrNull { it.bootS * 1000 } ?: DEFAULT_BOOT_MS).toLong())
     private val lifecycle = Lifecycle(state, ledger, blame, served)
@@ -132,7 +136,7 @@
     fun starved(now: Long): Map<Group, Tally> {
         val beside = conservation.stalled(now).filter { it.obstacle == Obstacle.NONE }.mapNotNull { state.job(it.job) }
         return served(now).filter { (group, tally) ->
-            tally.starved && beside.any { group == Group(Group.Of.CLASS, it.spec.jobClass) || group == Group(Group.Of.TEAM, it.spec.team) }
+            tally.starved && beside.any { group in it.counted(now).groups }
         }
     }
 
@@ -144,7 +148,7 @@
     /** What may leave now; the rest waits until the door opens, or is never done. */
     fun drain(): List<Effect> {
         if (state.door.state != TermDoor.State.WOKEN) return ArrayList(state.effects).also { state.effects.clear() }
-        val harmless = state.effects.filter { it is Effect.Tell || it is Effect.StepDown || it is Effect.Cancelled }
+        val harmless = state.effects.filter { it is Effect.Tell || it is Effect.StepDown || it is Effect.Cancelled || it is Effect.Send && it.harmless }
         state.effects.removeAll(harmless.toSet())
         return harmless
     }
@@ -156,10 +160,10 @@
         if (pauseMs > 0) state.effects += Effect.Tell("stood-still", "for $pauseMs ms, the term's lease is ${if (state.door.state == TermDoor.State.OPEN) "still" else "no longer sure to be"} held")
     }
 
-    /** Whether what was decided a while ago may still be done: start, rent and give back only within the lease, the rest unless woken past it. */
+    /** Whether what was decided a while ago may still be done: start, rent and give back only within the lease; a stop always, since it is safe to repeat. */
     fun mayAct(now: Long, withinLease: Boolean): Boolean {
         enter(now)
-        return state.door.state == TermDoor.State.OPEN || !withinLease && state.door.state == TermDoor.State.OVERDUE
+        return !withinLease || state.door.state == TermDoor.State.OPEN
     }
 
     /** The rules that starts go by from now on; an older version than the present one changes nothing. */
@@ -180,18 +184,52 @@
     private fun joined() = RuleSet(operators.version, operators.rules + jobRules, operators.topology)
 
     /** The lease of the term holds until then; told at [now]. */
-    fun leaseUntil(until: Long, now: Long) = state.door.renewed(until, now)
+    fun leaseUntil(until: Long, now: Long) {
+        state.door.renewed(until, now)
+        renewal(RenewalBound.Event.Leased(until, now))
+    }
+
+    /** Whether workers' leases are renewed without the others' word. */
+    fun leased(now: Long): Boolean = renewal(RenewalBound.Event.Watched(now)) == RenewalBound.State.LEASED
+
+    /** Asked at [askedAt], the controller [by] knew of no later term, and had been up for [upMs]. */
+    fun vouched(by: String, askedAt: Long, upMs: Long, now: Long) {
+        renewal(RenewalBound.Event.Vouched(by, askedAt, upMs, now))
+    }
+
+    private fun renewal(event: RenewalBound.Event): RenewalBound.State {
+        val before = renewal.state
+        val after = renewal.on(event)
+        if (after == RenewalBound.State.ENDED && before != after) {
+            state.effects += Effect.Tell("renewals-end", "nothing proves any more that no later term has confirmed cancellations: workers are not answered")
+        } else if (before == RenewalBound.State.ENDED && renewal.renews && state.now > startedAt) {
+            state.effects += Effect.Tell("renewals-resume", "workers are answered again ($after)")
+        }
+        return after
+    }
 
     /** A worker's report; null when this node has no right to answer it. */
     fun hello(report: Report, now: Long): HelloAnswer? {
         enter(now)
         if (outdone(report.token)) return null
         reports.absorb(report, now)
+        // What it tells is evidence; to answer it is to renew its lease.
+        renewal(RenewalBound.Event.Watched(now))
+        if (!renewal.renews) {
+            settle(now)
+            return null
+        }
         val machine = state.addMachine(report.machine, now)
         machine.lease.on(SessionLease.Event.Answered(report.session, now))
         settle(now)
-        val forget = report.tasks.filter { it.state is TaskState.Ended && mayForget(it) }.take(MAX_FORGET)
-        return HelloAnswer(machine.token, forget.map { Command.Forget(it.task, it.attempt) })
+        return HelloAnswer(machine.token, report.tasks.mapNotNull(::inAnswer).take(MAX_IN_ANSWER))
+    }
+
+    /** What the answer to a report may carry, being safe to repeat: what ended is forgotten, and what is unwanted is stopped, also where no command gets through. */
+    private fun inAnswer(said: ReportedTask): Command? = when {
+        said.state is TaskState.Ended -> Command.Forget(said.task, said.attempt).takeIf { mayForget(said) }
+        state.job(said.job)?.unwanted == true -> Command.Stop(said.task, said.attempt, 0.0)
+        else -> null
     }
 
     /** A result must be durable before its only other copy is given up. */
@@ -206,6 +244,7 @@
         if (token shr ClusterState.SEQUENCE_BITS <= term) return false
         if (!outbid) state.effects += Effect.StepDown("a worker has seen a higher term")
         outbid = true
+        renewal(RenewalBound.Event.Superseded(state.now))
         return true
     }
 
@@ -265,7 +304,7 @@
         if (job == null) return (first until first + most).mapNotNull { e.remembered("$id/$it", now) }.ifEmpty { null }
         val beside = conservation.of(job, now)?.let { "free machines have had room for it for ${(now - it.sinceMs) / 1000} s: ${it.obstacle.what}" }
         val share = served(now).let { all ->
-            listOf(Group(Group.Of.CLASS, job.spec.jobClass), Group(Group.Of.TEAM, job.spec.team)).mapNotNull { g -> all[g]?.let { "of $g ${it.started} of ${it.accepted} jobs have been started" } }
+            job.counted(now).groups.mapNotNull { g -> all[g]?.let { "of $g ${it.started} of ${it.accepted} jobs have been started" } }
         }
         return (first until minOf(job.tasks.size, first + most)).mapNotNull { e.explain(job.tasks[it], now, share + listOfNotNull(beside)) }
     }
@@ -315,7 +354,8 @@
 
     fun tick(now: Long) {
         enter(now)
-        if (state.door.state == TermDoor.State.WOKEN) return
+        renewal(RenewalBound.Event.Watched(now))
+        if (state.door.state == TermDoor.State.WOKEN) return starts.stop(state.machines, now)
         silence.step(now)
         zones.step(now)
         fleet.watch(now)
@@ -356,7 +396,7 @@
         const val MAX_ROWS = 256
 
         /** Some 70 bytes each: no line of an answer may be longer than 64 KiB (PROTOCOL). The rest follows with the next report. */
-        const val MAX_FORGET = 600
+        const val MAX_IN_ANSWER = 600
         const val NEW_JOB_MS = 30L
 
         /** Of the tasks that memory is meant for, how many there may be before teams are held to their parts. */
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.blame.Blame
 import org.honeyjunction.core.blame.MachineHealth
+import org.honeyjunction.core.evidence.RenewalBound
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
@@ -41,18 +42,34 @@
     fun flush(now: Long) {
         if (closable.isEmpty()) return
         // Workers report an ended task until it is reaped: a final record that is on its way is not written again.
-        val due = closable.filter { it.stage == JobStage.ACTIVE && !it.closing }
+        val (due, later) = closable.filter { it.stage == JobStage.ACTIVE && !it.closing }.partition { mayClose(it, now) }
         closable.clear()
+        closable += later
         // What is not finished is here because it was cancelled.
         due.forEach { close(it, cancelled = it.unfinished > 0, now) }
     }
 
     fun cancel(job: Job, now: Long) {
         if (job.closing) return
+        job.cancelAsked = true
+        job.placements.toList().forEach { it.askToStop(0.0) }
         closable += job
         flush(now)
     }
 
+    /**
+     * What is confirmed as cancelled must go in time, whatever is lost from then on: nobody but this leader may be able to renew the lease of
+     * a worker that may have it. So every such worker has to have shown this term's token, or the former leaders' right to renew leases has
+     * to be over as far as this goes; see [RenewalBound]. Where the settings leave no room for a lease, its tasks must be gone.
+     */
+    private fun mayClose(job: Job, now: Long): Boolean {
+        if (job.unfinished == 0) return true
+        val there = job.placements.filter { it.phase > Phase.RECORDED }
+        return if (leasesFit) now - state.startedAt >= RenewalBound.CONFIRM_AFTER_MS || there.all { it.machine.lease.fenced } else there.isEmpty()
+    }
+
+    private val leasesFit = RenewalBound.roomMs(state.cluster.cancelMs, state.cluster.leaseMs) > 0
+
     private fun close(job: Job, cancelled: Boolean, now: Long) {
         job.closing = true
         state.commit(listOf(Change.JobOver(job.spec.id, job.version, cancelled))) { outcome ->
@@ -98,7 +115,7 @@
     }
 }
 
-fun Job.counted(now: Long) = Counted(spec.jobClass, spec.team, started || doneCount > 0, now - createdAt)
+fun Job.counted(now: Long) = Counted(spec.jobClass, spec.team, started || doneCount > 0, now - createdAt, spec.tasks)
 
 /** Asks for a stop; a lesser grace than before replaces the earlier one. */
 fun Placement.askToStop(graceS: Double) {
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -107,7 +107,10 @@
         val token: Long,
         val session: Long,
         val commands: List<Command>,
-    ) : Effect
+    ) : Effect {
+        /** Nothing in it starts anything: it may go out at any time, however late. */
+        val harmless get() = commands.none { it is Command.Start }
+    }
 
     data class Rent(val request: String, val offer: Offer, val type: String, val zone: String, val count: Int) : Effect
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -81,7 +81,7 @@
         val elsewhere = task.placements.any { it.machine !== machine }
         // A start of ours that was not sent yet gives way to what the machine really has.
         val placement = state.place(task, machine, said.attempt, phase, now)
-        if (job.stage != JobStage.ACTIVE || task.done || elsewhere) placement.askToStop(0.0)
+        if (job.unwanted || task.done || elsewhere) placement.askToStop(0.0)
     }
 
     private fun ended(known: Placement?, task: Task, end: TaskState.Ended, machine: Machine, now: Long) {
--- a/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.evidence.SessionLease
+import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
@@ -46,15 +47,17 @@
         if (deaf(now)) return false
         val silentMs = zones.silentMs(m, now)
         return when (m.phase) {
-            MachinePhase.LOST -> silentMs > patienceMs(m) || m.lostJobs.any { it.stage == JobStage.CANCELLED }
-            MachinePhase.UNHEARD -> silentMs > patienceMs(m) || silentMs > unheardMs && m.placements.values.any { it.task.job.stage == JobStage.CANCELLED }
+            MachinePhase.LOST -> silentMs > patienceMs(m) || m.lostJobs.any(::cancelled)
+            MachinePhase.UNHEARD -> silentMs > patienceMs(m) || silentMs > unheardMs && m.placements.values.any { cancelled(it.task.job) }
             // A hung machine holds cancelled tasks beyond its lease; the release makes sure of them.
             MachinePhase.UP, MachinePhase.QUIET -> now - m.lastHeardAt > state.cluster.reportMs * 3 && now - m.lastHeardAt > state.cluster.cancelMs / 4 &&
-                m.placements.values.any { it.task.job.stage == JobStage.CANCELLED && it.stopping }
+                m.placements.values.any { cancelled(it.task.job) && it.stopping }
             MachinePhase.BOOTING, MachinePhase.DRAINING, MachinePhase.RELEASING, MachinePhase.GONE -> false
         }
     }
 
+    private fun cancelled(job: Job) = job.stage == JobStage.CANCELLED || job.cancelAsked
+
     /** While no machine at all is heard, the silence says more of this node than of them. */
     fun deaf(now: Long) = state.machines.none { now - it.lastHeardAt < state.cluster.reportMs * 4 } || now - state.door.resumedAt < state.cluster.reportMs * 2
 
--- a/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Starts.kt
@@ -80,12 +80,24 @@
     /** Gives stale reservations back and sends what is recorded or to be stopped. */
     fun flush(machines: Collection<Machine>, now: Long) {
         for (machine in machines) dropStale(machine, now)
+        stop(machines, now)
+    }
+
+    /** Sends what is due without deciding anything: while this process may not act, that is stops alone. */
+    fun stop(machines: Collection<Machine>, now: Long) {
         // Messages on their way are bounded: after a mass failure those with the most urgent starts go first.
         val ordered = if (sent.size + machines.size <= state.cluster.maxSends) machines else machines.sortedByDescending { urgency(it) }
         for (machine in ordered) send(machine, now)
     }
 
-    private fun urgency(m: Machine): Int = m.placements.values.maxOfOrNull { if (it.phase == Phase.RECORDED) it.task.job.spec.priority.ordinal + 1 else 0 } ?: 0
+    /** What was cancelled has to be gone in time; then starts by their priority. */
+    private fun urgency(m: Machine): Int = m.placements.values.maxOfOrNull {
+        when {
+            it.stopping && it.task.job.unwanted -> Int.MAX_VALUE
+            it.phase == Phase.RECORDED -> it.task.job.spec.priority.ordinal + 1
+            else -> 0
+        }
+    } ?: 0
 
     /** A reservation that could not be recorded in time, or is no longer wanted, gives its room back. */
     private fun dropStale(machine: Machine, now: Long) {
@@ -106,7 +118,8 @@
     private fun send(machine: Machine, now: Long) {
         val address = machine.address ?: return
         if (machine.commandBusy || now < machine.nextCommandAt || machine.phase == MachinePhase.GONE) return
-        val unfenced = !machine.lease.fenced && machine.lease.session > 0
+        // A new leader brings its token itself: from then on nobody else's answers renew leases there.
+        val unfenced = !machine.lease.fenced && (machine.lease.session > 0 || machine.phase == MachinePhase.UNHEARD)
         if (machine.placements.isEmpty() && !unfenced || sent.size >= state.cluster.maxSends) return
         val commands = ArrayList<Command>()
         val starts = ArrayList<Placement>()
@@ -130,7 +143,7 @@
             p.voidAbove = machine.token + 1
         }
         sent[id] = Message(machine, starts)
-        state.effects += Effect.Send(id, machine.name, address, machine.token, machine.lease.session, commands)
+        state.effects += Effect.Send(id, machine.name, address, machine.token, maxOf(machine.lease.session, FIRST_SESSION), commands)
     }
 
     private fun ready(p: Placement): Boolean {
@@ -176,6 +189,9 @@
         const val STOP_AGAIN_MS = 1_500L
         const val RETRY_MS = 500L
 
+        /** Where none is known yet; a refusal tells the right one. */
+        const val FIRST_SESSION = 1L
+
         /** Some 70 bytes each, of the 64 KiB that a message may have. */
         const val MAX_COMMANDS = 400
     }
--- a/src/main/kotlin/org/honeyjunction/core/placement/Cut.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Cut.kt
@@ -39,7 +39,8 @@
         }
     }
 
-    private val taken = HashSet<Slot>()
+    /** In the order of claims: one seed must play one way. */
+    private val taken = LinkedHashSet<Slot>()
     private var budget = 0
 
     /** [ordered]: the rows in the order in which they are to start. */
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -63,6 +63,9 @@
     private val gangs = Gangs(timing)
     private val saved = HashMap<String, Double>()
     private val nextReportAt = HashMap<String, Long>()
+
+    /** To whom each worker reports, until that one answers no more. */
+    private val homes = HashMap<String, Core>()
     private val rentals = HashMap<String, List<String>>()
     private val booting = LinkedHashMap<String, Triple<Long, String, Boolean>>()
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
@@ -89,6 +92,12 @@
     var answersLateUntil = 0L
     var reportsWaitUntil = 0L
 
+    /** Workers hear nothing of who is elected next. */
+    var nextUnheard = false
+
+    /** Of so many in a hundred reports a copy arrives once more, up to two leases later. */
+    var lateReports = 0
+
     /** All machines of [zone] that are up lose the network together. */
     fun cut(zone: String, forMs: Long) = workers.values.filter { it.box.zone == zone && !it.dead }.forEach { it.cutUntil = now + forMs }
 
@@ -101,7 +110,7 @@
     /** Machines that are paid for and not up. */
     fun booting(): Int = booting.size
 
-    /** The holder reaches neither the state service nor the cloud; it goes on answering those who ask it. */
+    /** The holder reaches neither the state service nor the cloud nor other controllers; its workers stay with it as long as it answers them. */
     fun cutOff() {
         holder?.cutOff = true
         at(LEASE) { elect() }
@@ -154,9 +163,12 @@
         var alive = true
         var reachable = true
 
-        /** Reaches neither the state service nor the cloud: what it asks of them comes late. */
+        /** Reaches neither the state service nor the cloud, which hear it late, nor other controllers. */
         var cutOff = false
-        val holder = Holder(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules).also { it.leaseUntil(now + LEASE, now) }
+
+        /** What it sends to workers is lost. */
+        var unheard = nextUnheard
+        val holder = Holder(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules, listOf(OTHER)).also { it.leaseUntil(now + LEASE, now) }
 
         /** Stands still until then, while its clocks run on: what happens meanwhile is seen afterwards, in its order. */
         var frozenUntil = 0L
@@ -185,10 +197,16 @@
         if (!core.alive) return
         if (now < core.frozenUntil) return at(core.frozenUntil - now) { tick(core) }
         if (core === holder && !state.down && !core.cutOff) core.holder.leaseUntil(now + LEASE, now)
+        if (!core.cutOff && now % VOUCH_MS < 100) vouch(core)
         core.run { tick(now) }
         at(100) { tick(core) }
     }
 
+    /** The other controllers have been up all the time, and know what the latest term is. */
+    private fun vouch(core: Core) {
+        if (core.term < state.term) core.alive = false else core.run { vouched(OTHER, now, now, now) }
+    }
+
     fun submit(id: Int, kind: JobKind, tasks: Int, team: String = "a", spot: Boolean = false, spread: Boolean = false, oneZone: Boolean = false, gpus: Int = 1, seconds: Double = 8.0, checkpoint: Double = 0.0, jobClass: String = "c", priority: Priority = Priority.NORMAL): String {
         val spec = JobSpec(
             "j-$id", jobClass, team, kind, priority, tasks, Resources(gpus * 1.0, gpus.toDouble(), gpus * 1.0),
@@ -227,6 +245,7 @@
 
     /** Writes are answered, or their answer is lost, or they are held back and applied late, if their conditions still hold. */
     private fun commit(core: Core, e: Effect.Commit) {
+        if (core.cutOff) return at(heldBackMs()) { state.commit(core.term, e.changes) }
         val fate = if (e.changes.any { it is Change.JobOver }) 50 else random.nextInt(50)
         if (fate == 0) at(3_000L + random.nextInt(5_000)) { state.commit(core.term, e.changes) }
         at(latency()) {
@@ -249,10 +268,11 @@
     /** Commands reach the worker, or come much later: held back by a cut or a hanging machine. */
     private fun deliver(core: Core, e: Effect.Send) {
         val w = workers[e.machine]
-        val held = w == null || w.silent(now) || now < w.cutUntil || !core.reachable
+        val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard
         if (held && resets) return at(200) { core.run { commandUnanswered(e.id, now) } }
-        val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil) - now + random.nextInt(30_000) else latency()
-        at(delay) {
+        val lost = core.unheard || w != null && now < w.deafUntil
+        val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil, now) - now + random.nextInt(30_000) else latency()
+        if (!lost) at(delay) {
             val there = workers[e.machine]?.takeIf { !it.silent(now) } ?: return@at
             there.advance(now)
             val done = there.command(e.token, e.session, e.commands, now)
@@ -291,10 +311,16 @@
         val sentAt = now
         // A report that is held back arrives late, at whoever holds the term by then.
         val delay = if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency()
+        if (lateReports > 0 && random.nextInt(100) < lateReports) at(2_000L + random.nextInt(2 * setup.workerLeaseMs.toInt())) { holder?.run { hello(report, now) } }
         at(delay) {
-            val core = holder?.takeIf { it.alive && it.reachable } ?: return@at
+            val core = (homes[w.name]?.takeIf { it.alive } ?: holder)?.takeIf { it.alive && it.reachable } ?: return@at
+            homes[w.name] = core
             core.run {
-                val answer = hello(report, now) ?: return@run
+                val answer = hello(report, now)
+                if (answer == null || core.unheard || now < w.deafUntil) {
+                    homes -= w.name
+                    return@run
+                }
                 val (token, commands) = answer.token to answer.commands
                 at(if (now < answersLateUntil) 5_000 else latency()) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
             }
@@ -349,5 +375,7 @@
         /** Of the term, in the state service. */
         const val LEASE = 5_000L
         private const val NODE = "n"
+        private const val OTHER = "m"
+        private const val VOUCH_MS = 500L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Worker.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Worker.kt
@@ -51,6 +51,9 @@
     var dead = false
     var hungUntil = 0L
     var cutUntil = 0L
+
+    /** Until then its reports arrive, but it hears neither answers nor commands. */
+    var deafUntil = 0L
     var noticeS: Double? = null
 
     /** A machine that is at fault: whatever runs on it fails. */
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -48,6 +48,12 @@
     /** Users of a controller ask where these jobs are. */
     data class Polls(val jobs: List<String>) : PeerMessage
 
+    /** The leader of [term] makes it known, and asks whether a later one is. */
+    data class Vouch(val node: String, val term: Long) : PeerMessage
+
+    /** The latest term that is known, who leads it (may be empty), and for how long this controller has been up. */
+    data class Vouched(val term: Long, val leader: String, val upMs: Long) : PeerMessage
+
     /** What the holder is sure of; a job that it does not name must be looked up in its record. */
     class Stages(val jobs: Map<String, JobStatus>) : PeerMessage
 }
@@ -64,6 +70,8 @@
     private const val ANSWER = 7
     private const val POLLS = 8
     private const val STAGES = 9
+    private const val VOUCH = 10
+    private const val VOUCHED = 11
 
     fun encode(m: PeerMessage): ByteArray {
         val body = Buffer()
@@ -78,6 +86,8 @@
             is PeerMessage.Accepted -> body.writeByte(ACCEPTED).writeInt(m.count)
             is PeerMessage.Forward -> body.writeByte(FORWARD).text(m.method).text(m.path).bytes(m.body)
             is PeerMessage.Answer -> body.writeByte(ANSWER).writeInt(m.status).writeInt(m.retryAfterS).bytes(m.body)
+            is PeerMessage.Vouch -> body.writeByte(VOUCH).text(m.node).writeLong(m.term)
+            is PeerMessage.Vouched -> body.writeByte(VOUCHED).writeLong(m.term).text(m.leader).writeLong(m.upMs)
             is PeerMessage.Polls -> body.writeByte(POLLS).all(m.jobs) { text(it) }
             is PeerMessage.Stages -> body.writeByte(STAGES).all(m.jobs.entries.toList()) { (id, j) ->
                 text(id).writeByte(j.stage.ordinal).writeInt(j.done).writeInt(j.running)
@@ -110,6 +120,8 @@
         FORWARD -> PeerMessage.Forward(b.text(), b.text(), b.bytes())
         ANSWER -> PeerMessage.Answer(b.readInt(), b.readInt(), b.bytes())
         POLLS -> PeerMessage.Polls(b.all { text() })
+        VOUCH -> PeerMessage.Vouch(b.text(), b.readLong())
+        VOUCHED -> PeerMessage.Vouched(b.readLong(), b.text(), b.readLong())
         STAGES -> PeerMessage.Stages(b.all { text() to JobStatus(stage(), readInt(), readInt()) }.toMap())
         else -> throw MalformedException("frame of kind $kind")
     }
--- a/src/test/kotlin/org/honeyjunction/app/SettingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SettingsTest.kt
@@ -31,6 +31,16 @@
         assertEquals(2, s.stateLimits.nodes)
     }
 
+    @ParameterizedTest
+    @CsvSource("53, 28, 0", "31, 28, 0", "29, 28, 1", "20, 28, 1")
+    fun `settings that leave cancellations no room are told of in one line`(cancelS: Double, leaseS: Double, warnings: Int) {
+        val o = file()
+        (o.at("/params/workers") as ObjectNode).put("cancel_s", cancelS).put("lease_s", leaseS)
+        val told = Settings.parse(o).warnings
+        assertEquals(warnings, told.size)
+        told.forEach { assertTrue(it.startsWith("params.workers: cancel_s $cancelS") && '\n' !in it, it) }
+    }
+
     @ParameterizedTest
     @CsvSource(
         delimiter = '|',
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/MeetingsTest.kt
@@ -0,0 +1,193 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.evidence.RenewalBound
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.emulator.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Two troubles that meet, in virtual time: [World] asserts the protocol's rules after every step. */
+class MeetingsTest {
+    private fun World.live(id: String) = workers.values.sumOf { w -> if (w.holds(now)) w.tasks.values.count { it.live && it.spec.id == id } else 0 }
+
+    /** One long job on machines of its own, running. */
+    private fun World.running(tasks: Int = 4): String {
+        elect()
+        val id = submit(1, JobKind.ARRAY, tasks, "b", seconds = 1e6)
+        run(15_000)
+        assertEquals(tasks, live(id), "the tasks run")
+        return id
+    }
+
+    /**
+     * The gap: the leader loses the state service (and the others), its workers stay with it; the next one, whom no worker hears, confirms that
+     * the job is cancelled, and then the state service is down for all. [World] notes ran_cancelled once the time is over.
+     */
+    @ParameterizedTest(name = "{0}, seed {1}")
+    @CsvSource(
+        "the next leader ends after the confirmation, 1", "the next leader ends after the confirmation, 2", "the next leader is heard by nobody, 3",
+        "the next leader is heard by nobody, 4", "the next leader is heard after 20 s, 5", "the next leader is heard after 20 s, 6",
+    )
+    fun `a job that is cancelled through the next leader is gone in time, though the former one answers its workers`(case: String, seed: Long) {
+        val w = World(seed)
+        val job = w.running()
+        val former = w.holder!!
+        w.nextUnheard = true
+        w.cutOff()
+        w.run(World.LEASE + 200)
+        val next = w.holder!!
+        assertTrue(next !== former && former.alive)
+        w.cancel(job)
+        // Nobody hears it, so the former leader may keep the tasks alive: it is confirmed only when that has an end.
+        w.run(RenewalBound.CONFIRM_AFTER_MS - 2_000)
+        assertTrue(job !in w.watch.cancelledAt, "not yet")
+        assertEquals(4, w.live(job))
+        w.run(3_000)
+        assertTrue(job in w.watch.cancelledAt, "confirmed")
+        w.state.down = true
+        if ("ends" in case) next.alive = false
+        if ("20 s" in case) w.at(20_000) { next.unheard = false }
+        w.run(45_000)
+        assertEquals(emptyList<String>(), w.broken, case)
+        assertEquals(0, w.live(job), case)
+    }
+
+    /** Where the next leader is heard, its token comes first, and nobody waits; what it ends after that makes no difference. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `a cancellation is confirmed at once where the next leader's token is known`(seed: Long) {
+        val w = World(seed)
+        val job = w.running()
+        w.cutOff()
+        w.run(World.LEASE + 1_500)
+        w.cancel(job)
+        w.run(300)
+        assertTrue(job in w.watch.cancelledAt, "confirmed")
+        w.state.down = true
+        w.holder!!.alive = false
+        w.run(40_000)
+        assertEquals(0, w.live(job))
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
+    /** The price: an outage in which all other controllers answer costs no task, however long; see RenewalBoundTest for the rest. */
+    @Test
+    fun `an outage of the state service longer than a cancellation may take ends no task`() {
+        val w = World(1)
+        val job = w.running()
+        w.state.down = true
+        w.run(80_000)
+        assertEquals(4, w.live(job))
+        w.state.down = false
+        w.run(5_000)
+        assertEquals(4, w.live(job))
+        assertEquals(1, w.watch.starts.values.map { it.task.attempt }.distinct().size, "none was started again")
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
+    /** Stops are lost on deaf machines: the lease ends what was cancelled, and what is deaf is no proof of anything before its time. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `a leader ends while machines are deaf - what was cancelled goes with its lease, the rest is started once`(seed: Long) {
+        val w = World(seed)
+        val job = w.running()
+        val other = w.submit(2, JobKind.ARRAY, 3, "b", seconds = 30.0)
+        w.run(10_000)
+        w.workers.values.forEach { it.deafUntil = w.now + 25_000 }
+        w.crash()
+        w.run(World.LEASE + 500)
+        w.cancel(job)
+        w.run(36_000)
+        assertEquals(0, w.live(job))
+        w.run(120_000)
+        assertEquals(JobStage.DONE, w.state.finals[other]?.stage)
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
+    /** A small job whose ends lie apart: results that an earlier leader wrote are never asked for again. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a job of two tasks ends half before and half after changes of leader - each task runs once, done is told in time`(seed: Long) {
+        val w = World(seed)
+        w.elect()
+        // One begins when the other is nearly done: a team's limit lets one run at a time.
+        val job = w.submit(1, JobKind.ARRAY, 2, "a", gpus = 4, seconds = 12.0)
+        val rest = w.submit(2, JobKind.ARRAY, 1, "a", gpus = 4, seconds = 14.0)
+        w.lateReports = 30
+        w.run(14_000)
+        repeat(2) {
+            w.crash()
+            w.run(9_000)
+        }
+        w.run(90_000)
+        for (id in listOf(job, rest)) assertEquals(JobStage.DONE, w.state.finals[id]?.stage, id)
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
+    /** The largest of a class begin within four minutes beside small work that never stops, over two changes of leader. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2])
+    fun `whole gangs of the largest size and an array at its team's limit begin beside steady small work`(seed: Long) {
+        val w = World(seed, capacity = 9)
+        w.elect()
+        val small = ArrayList<String>()
+        val large = ArrayList<String>()
+        for (second in 0 until 300) {
+            if (second % 2 == 0) small += w.submit(1_000 + second, JobKind.ARRAY, 1, if (second % 4 == 0) "a" else "b", seconds = 9.0 + second % 7, jobClass = "steady")
+            if (second % 60 == 20) {
+                large += w.submit(10 + second, JobKind.GANG, 4, "b", oneZone = true, gpus = 4, seconds = 15.0, jobClass = "train", priority = Priority.HIGH)
+                large += w.submit(11 + second, JobKind.ARRAY, 12, "a", seconds = 12.0, jobClass = "steady")
+            }
+            if (second == 50 || second == 130) w.crash()
+            w.run(1_000)
+            val late = large.filter { id -> w.state.jobs[id]?.let { w.now - it.createdAtWall > 240_000 } == true && w.watch.starts.values.none { it.task.spec.id == id } }
+            assertEquals(emptyList<String>(), late, "begin within four minutes, at ${w.now}")
+        }
+        w.run(260_000)
+        assertEquals(emptyList<String>(), (small + large).filter { w.state.finals[it]?.stage != JobStage.DONE })
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
+    private val troubles: List<Pair<String, World.() -> Unit>> = listOf(
+        "the leader ends" to { crash() },
+        "the leader is cut off" to { cutOff() },
+        "the leader is cut off and the next one not heard" to { nextUnheard = true; cutOff(); at(20_000) { nextUnheard = false; holder?.unheard = false } },
+        "the leader stands still" to { freeze(9_000) },
+        "the state service is down" to { state.down = true; at(20_000) { state.down = false } },
+        "half of the machines are deaf" to { workers.values.filterIndexed { i, _ -> i % 2 == 0 }.forEach { it.deafUntil = now + 16_000 } },
+        "a zone is cut" to { cut("x", 14_000) },
+        "machines hang" to { workers.values.filterIndexed { i, _ -> i % 3 == 0 }.forEach { it.hungUntil = now + 16_000 } },
+        "reports come twice" to { lateReports = 60; at(30_000) { lateReports = 0 } },
+        "a job is cancelled" to { state.jobs.values.filter { it.spec.kind != JobKind.SERVICE }.drop(1).firstOrNull()?.let { cancel(it.spec.id) } },
+    )
+
+    /** Every two troubles, the second a moment or some seconds after the first, over arrays, a gang and replicas. */
+    @ParameterizedTest
+    @ValueSource(longs = [300, 3_000, 7_000])
+    fun `every meeting of two troubles`(gapMs: Long) {
+        for ((a, first) in troubles) for ((b, second) in troubles) {
+            val w = World(31L * a.hashCode() + b.hashCode() + gapMs)
+            w.elect()
+            val jobs = listOf(
+                w.submit(1, JobKind.ARRAY, 6, "a", spot = true, seconds = 12.0, checkpoint = 3.0), w.submit(2, JobKind.ARRAY, 2, "b", seconds = 25.0),
+                w.submit(3, JobKind.GANG, 2, "b", oneZone = true, gpus = 2, seconds = 14.0),
+            )
+            val replicas = w.submit(4, JobKind.SERVICE, 2, "b", spread = true, priority = Priority.PRODUCTION)
+            w.run(11_000)
+            first(w)
+            w.run(gapMs)
+            second(w)
+            w.run(150_000)
+            val name = "$a, after $gapMs ms $b"
+            assertEquals(emptyList<String>(), w.broken, name)
+            assertEquals(emptyList<String>(), jobs.filter { w.state.finals[it] == null }, "unfinished after: $name")
+            assertEquals(2, w.running(replicas), "replicas after: $name")
+        }
+    }
+}
