The tasks of a gang get room at the same time in plans of what to rent

The plan gave the second task the room that the first would leave, as it does for arrays, so nothing was rented and the gang waited for ever. What a gang takes is given back to others only.

--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -33,8 +33,11 @@
     fun take(need: Resources, runS: Double?, fromS: Double = 0.0) {
         free -= need
         needed = true
-        if (runS == null) return
-        val at = fromS + runS
+        if (runS != null) leaves(need, fromS + runS)
+    }
+
+    /** What was taken is given back in so many seconds. */
+    fun leaves(need: Resources, at: Double) {
         leaving.add(leaving.indexOfFirst { it.inS > at }.let { if (it < 0) leaving.size else it }, Soon(at, need))
     }
 
@@ -95,6 +98,23 @@
         val rent = LinkedHashMap<Offer, Int>()
         val held = HashMap<Int, Int>()
         val reserved = HashSet<Int>()
+        private val together = ArrayList<Pair<Bin, Double>>()
+
+        /**
+         * Room for a task of [w], given back when it has run: to others at once, but not to the rest of its own gang. The tasks of a gang run
+         * at the same time; one that took the room which another of them leaves would never start, and nothing would be rented for it.
+         */
+        fun take(bin: Bin, w: Wanted, runS: Double?, fromS: Double = 0.0) {
+            val gang = w.sample.gangOf > 0
+            bin.take(w.sample, runS.takeUnless { gang }, fromS)
+            if (gang && runS != null) together += bin to fromS + runS
+        }
+
+        /** [w] has all that it gets. */
+        fun settle(w: Wanted) {
+            together.forEach { (bin, at) -> bin.leaves(w.sample.need, at) }
+            together.clear()
+        }
     }
 
     fun plan(waiting: List<Wanted>, expected: List<Expected>, bins: List<Bin>, machinesByZone: Map<Int, Int>): Plan {
@@ -105,10 +125,12 @@
             val zone = if (w.sample.oneZone) bestZone(w, work) else null
             val left = await(w, fill(w, zone, work), zone, work)
             if (buy(w, left, zone, work) > 0) unmet += w.sample
+            work.settle(w)
         }
         for (e in expected) {
             val left = fill(e.wanted, null, work, reserve = e.tight)
             if (e.atOnce) buy(e.wanted, left, null, work)
+            work.settle(e.wanted)
         }
         return Plan(work.rent, work.open.filter { it.needed && it.machine >= 0 }.mapTo(HashSet()) { it.machine }, unmet, work.held, work.reserved)
     }
@@ -143,7 +165,7 @@
             val here = minOf(left, sample.need.countIn(bin.free))
             if (bin.empty && !bin.needed && bin.machine >= 0 && sample.gangOf > 0) work.held[bin.machine] = sample.job
             if (reserve && bin.machine >= 0) work.reserved += bin.machine
-            left -= take(bin, w, here)
+            left -= take(bin, w, here, work)
         }
         if (left > 0) work.full.note(sample, zone)
         return left
@@ -165,7 +187,7 @@
             val within = type.bootS + w.sample.imageGb / type.fetchGbPerS
             while (left > 0 && bin.permits(w.sample, rules)) {
                 val at = bin.freeFor(w.sample.need, within) ?: break
-                bin.take(w.sample, w.runS?.coerceAtLeast(SHORTEST_S), at)
+                work.take(bin, w, w.runS?.coerceAtLeast(SHORTEST_S), at)
                 left--
             }
         }
@@ -190,7 +212,7 @@
             work.open += bin
             work.full.clear()
             work.late.clear()
-            val here = take(bin, w, minOf(left, room(sample, offer)))
+            val here = take(bin, w, minOf(left, room(sample, offer)), work)
             if (here == 0) return left
             left -= here
         }
@@ -198,10 +220,10 @@
     }
 
     /** As many as [most] tasks, as long as rules suffer one more beside the others. Returns how many. */
-    private fun take(bin: Bin, w: Wanted, most: Int): Int {
+    private fun take(bin: Bin, w: Wanted, most: Int, work: Work): Int {
         var taken = 0
         while (taken < most && bin.permits(w.sample, rules)) {
-            bin.take(w.sample, w.runS)
+            work.take(bin, w, w.runS)
             taken++
         }
         return taken
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -32,6 +32,17 @@
         assertEquals(1, plan.rent.values.sum())
     }
 
+    /** Found by the search: a gang shorter than a boot waited for ever for the room that its own first task would leave. */
+    @ParameterizedTest(name = "a gang of {0} that runs {1} s, one task on each of {2} machines: {3} rented")
+    @CsvSource("2, 2, 1, 1", "2, 200, 1, 1", "2, 2, 2, 0", "4, 5, 2, 2")
+    fun `the tasks of a gang run at the same time`(tasks: Int, runS: Double, machines: Int, rented: Int) {
+        val gang = row(0, false).copy(need = Resources(3.0, 3.0, 3.0), gangOf = tasks)
+        val bins = List(machines) { Bin(it, ordinary, size, false) }
+        val array = row(0, false).copy(job = 2, need = Resources(3.0, 3.0, 3.0))
+        val plan = Planner(types) { false }.plan(listOf(Wanted(gang, tasks, runS), Wanted(array, if (runS < 100) machines else 0, 50.0)), emptyList(), bins, emptyMap())
+        assertEquals(rented, plan.rent.values.sum(), "what the gang leaves soon is room for others")
+    }
+
     @ParameterizedTest(name = "{0}")
     @CsvSource(
         "what fits into free room rents nothing,             4, 0, true,  4,  0, false, 0,",
