--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -30,7 +30,6 @@
 import org.honeyjunction.io.PeerClient
 import org.honeyjunction.io.PeerServer
 import org.honeyjunction.io.StateClient
-import org.honeyjunction.io.socketAddress
 import org.honeyjunction.io.supervise
 import org.honeyjunction.nomad.NomadOptions
 import org.honeyjunction.wire.CloudCodec
@@ -49,7 +48,7 @@
 import java.io.IOException
 
 /** One controller: accepts jobs, places its own, and holds the term when it falls to it. */
-class Node(val settings: Settings, val tuning: Tuning, private val loop: Loop, val clock: Clock = Clock, nomad: NomadOptions? = null) {
+class Node(val settings: Settings, val tuning: Tuning, private val loop: Loop, val clock: Clock = loop.clock, nomad: NomadOptions? = null) {
     val log = LoggerFactory.getLogger(Node::class.java)
     val state = StateClient(loop, settings.state, settings.stateLimits, clock)
     private val cloud = CloudClient(loop, settings.cloud, settings.cloudRps, clock)
@@ -118,15 +117,15 @@
     val stateRefused: Boolean get() = stateSilent && clock.steady() - toldCertainAt < SILENT_MS
 
     fun start() {
-        PeerServer(loop, ::answerPeer).listen(socketAddress(settings.peerListen))
-        server.listen(socketAddress(settings.listen))
+        PeerServer(loop, ::answerPeer).listen(settings.peerListen)
+        server.listen(settings.listen)
         loop.scope.supervise("machine types", clock) { keepTypes() }
         loop.scope.supervise("election", clock, { giveUp("the election failed") }) { takePart() }
         loop.scope.supervise("rounds", clock) { placeOwn() }
         loop.scope.supervise("shares of the writes", clock) { shareWrites() }
         rules?.let { loop.scope.supervise("rules", clock) { it.follow() } }
         if (registry != null && nomadServer != null) {
-            nomadServer.listen(socketAddress(registry.options.listen))
+            nomadServer.listen(registry.options.listen)
             loop.scope.supervise("registered jobs", clock) { registry.follow() }
         }
         log.info("node-up: {} listens on {}", settings.node, settings.listen)
--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -15,7 +15,7 @@
 import java.io.IOException
 
 /** Real controllers, each on a thread of its own as in a process of its own; they can be killed, hung and started again. */
-class Controllers(private val settings: List<Settings>, private val tuning: Tuning, private val clock: Clock = Clock, private val nomad: List<NomadOptions?> = emptyList()) {
+class Controllers(private val settings: List<Settings>, private val tuning: Tuning, private val place: Place, private val clock: Clock? = null, private val nomad: List<NomadOptions?> = emptyList()) {
     private class Running(val loop: Loop, val node: Node)
 
     private val running = arrayOfNulls<Running>(settings.size)
@@ -23,8 +23,8 @@
 
     fun start(number: Int) {
         repeat(BIND_TRIES) {
-            val loop = Loop()
-            val node = Node(settings[number], tuning, loop, clock, nomad.getOrNull(number))
+            val loop = place.loop(settings[number].node)
+            val node = Node(settings[number], tuning, loop, clock ?: loop.clock, nomad.getOrNull(number))
             running[number] = Running(loop, node)
             try {
                 return node.start()
@@ -47,16 +47,19 @@
 
     fun up(number: Int) = running[number] != null
 
-    /** What the holder's watch on work conservation says now; nothing of those that do not answer at once. */
     /** Classes and teams of which less than half were served beside free machines. */
     suspend fun starved(): Map<Group, Tally> = running.filterNotNull().map { r ->
         withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.starved }.await() }.orEmpty()
     }.fold(emptyMap()) { all, some -> all + some }
 
+    /** What the holder's watch on work conservation says now; nothing of those that do not answer at once. */
     suspend fun stalled(): List<Stalled> = running.filterNotNull().flatMap { r ->
         withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.stalled }.await() }.orEmpty()
     }
 
+    /** What any of them could tell of its state service now: those that are up. */
+    val nodes: List<Node> get() = running.mapNotNull { it?.node }
+
     /** Its only thread does nothing else for so long. */
     fun hang(number: Int, forMs: Long) {
         running[number]?.loop?.occupy(forMs)
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -24,22 +24,19 @@
 import org.honeyjunction.wire.listOrEmpty
 import org.honeyjunction.wire.text
 import org.honeyjunction.wire.textOrNull
-import java.net.InetSocketAddress
-import java.net.StandardSocketOptions
-import java.nio.channels.SocketChannel
 
 /** The whole service on loopback: real controllers, stand-ins of what is round them, and users. */
 class LocalCluster(
-    settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit, clock: Clock = Clock,
-    nomad: NomadOptions? = null,
+    settings: LocalSettings, controllers: Int, tuning: Tuning, seed: Long, planned: List<PlannedJob>, private val tell: (String) -> Unit, clock: Clock? = null,
+    nomad: NomadOptions? = null, private val place: Place = LoopbackPlace(),
 ) {
-    private val reserved = List(controllers * 3) { reserve() }
-    private val ports = reserved.map { "127.0.0.1:${(it.localAddress as InetSocketAddress).port}" }
+    private val ports = place.addresses(controllers * 3)
     val nodes: List<String> = ports.take(controllers)
     private val peers = ports.drop(controllers).take(controllers)
 
     /** Where job files are taken; empty where that is not switched on. */
     val nomad: List<String> = if (nomad?.on == true) ports.drop(controllers * 2) else emptyList()
+    private val names = List(controllers, settings::name)
     private val work = planned.associate { it.work.spec.id to it.work }
     val loopback: Loopback
     val controllers: Controllers
@@ -49,10 +46,10 @@
     private var reference: Reference? = null
 
     init {
-        val sample = settings.forNode(0, nodes, peers, 1, 1)
-        loopback = Loopback(settings.loopback(sample), nodes.mapIndexed { i, a -> settings.name(i) to a }, seed) { work[it] }
-        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.statePorts[it], loopback.cloudPort) }, tuning, clock, this.nomad.map { nomad?.copy(listen = it) })
-        users = Users(loopback.loop, nodes, loopback.watch, loopback::now)
+        val sample = settings.forNode(0, nodes, peers, NOWHERE, NOWHERE)
+        loopback = Loopback(settings.loopback(sample), nodes.mapIndexed { i, a -> settings.name(i) to a }, seed, place.loop(Loopback.WORLD)) { work[it] }
+        this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.stateAddresses[it], loopback.cloudAddress) }, tuning, place, clock, this.nomad.map { nomad?.copy(listen = it) })
+        users = Users(loopback.loop.named(Loopback.USERS), nodes, loopback.watch, loopback::now)
     }
 
     fun start(faults: List<Fault>) {
@@ -85,6 +82,14 @@
                 delay(f.forMs)
                 users.pollsAtOnce = 1
             }
+            Fault.Whom.Writes -> {
+                say("transactions are late for ${f.forMs / 1000.0} s")
+                loopback.delayWrites(f.forMs)
+            }
+            Fault.Whom.Reports -> {
+                say("reports come again for ${f.forMs / 1000.0} s")
+                loopback.repeatReports(f.forMs)
+            }
             Fault.Whom.AllNodes -> strikeNodes(f, nodes.indices.toList())
             Fault.Whom.Holder -> strikeNodes(f, listOfNotNull(loopback.holder()))
             is Fault.Whom.Node -> strikeNodes(f, listOf(whom.number).filter { it in nodes.indices })
@@ -101,13 +106,15 @@
                 Fault.What.KILL -> controllers.kill(n)
                 Fault.What.HANG -> controllers.hang(n, f.forMs)
                 Fault.What.REFUSE -> loopback.refuse(n, f.forMs)
-                Fault.What.CUT, Fault.What.NOTICE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
+                Fault.What.ISOLATE -> if (!place.isolate(names[n], names.toSet() - names[n], f.forMs)) say("hive-$n can't be isolated here")
+                Fault.What.CUT, Fault.What.NOTICE, Fault.What.DEAFEN, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.DELAY, Fault.What.REPEAT -> Unit
             }
         }
         if (f.what != Fault.What.KILL) return
         delay(f.forMs)
-        numbers.forEach(controllers::start)
-        if (numbers.isNotEmpty()) say("${numbers.joinToString { "hive-$it" }} back")
+        // One that was killed twice comes back once.
+        val back = numbers.filter { !controllers.up(it) }.onEach(controllers::start)
+        if (back.isNotEmpty()) say("${back.joinToString { "hive-$it" }} back")
     }
 
     fun say(text: String) = tell(stamped(text))
@@ -167,17 +174,14 @@
     fun close() {
         controllers.close()
         loopback.close()
-        reserved.forEach { it.close() }
+        place.close()
     }
 
     private companion object {
         const val MAX_CLAUSE = 20_000
         const val FEW = 3
 
-        /**
-         * A port that the system chooses, and gives to nobody else while this socket is bound to it; it does not listen, so
-         * a controller can, again and again.
-         */
-        fun reserve(): SocketChannel = SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(InetSocketAddress("127.0.0.1", 0))
+        /** Where an address is only a placeholder. */
+        const val NOWHERE = "127.0.0.1:1"
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
@@ -38,8 +38,8 @@
     ],
 )
 class LocalCommand : Callable<Int> {
-    @Option(names = ["--controllers"], paramLabel = "N", description = ["controllers (default: \${DEFAULT-VALUE})"])
-    var controllers = 3
+    @Option(names = ["--controllers"], paramLabel = "N", description = ["controllers (default: 3); with --virtual: real ones, in virtual time"])
+    var controllers: Int? = null
 
     @Option(names = ["--machines"], paramLabel = "N", description = ["machines that the cloud has (default: \${DEFAULT-VALUE})"])
     var machines = 20
@@ -77,15 +77,23 @@
     @Option(names = ["--virtual"], description = ["a day in virtual time instead: the core against stand-ins without sockets, up to 20,000 machines, in seconds"])
     var virtual = false
 
+    @Option(names = ["--search"], paramLabel = "N", description = ["with --virtual --controllers: plays N short days with troubles that meet, from --seed on, until a rule breaks; with --fault, those troubles on each"])
+    var search: Int? = null
+
     @Option(names = ["--within"], paramLabel = "S", description = ["seconds after which jobs without a final answer count as failed (default: \${DEFAULT-VALUE})"])
     var withinS = 120
 
     @Option(names = ["--seed"], paramLabel = "N", description = ["of what the stand-ins draw (default: \${DEFAULT-VALUE})"])
     var seed = 1L
 
+    private val count get() = controllers ?: DEFAULT_CONTROLLERS
+
     override fun call(): Int {
         val troubles = try {
-            require(controllers in 1..9) { "--controllers is from 1 to 9" }
+            require(count in 1..9) { "--controllers is from 1 to 9" }
+            require(search == null || virtual && controllers != null) { "--search is for --virtual with --controllers" }
+            require(search.let { it == null || it in 1..MOST_DAYS }) { "--search is from 1 to $MOST_DAYS" }
+            require(controllers == null || !virtual || search != null) { "--virtual with --controllers is for --search" }
             val most = if (virtual) MOST_VIRTUAL else MOST_MACHINES
             require(machines in 1..most) { "--machines is from 1 to $most" + if (virtual) "" else ", with --virtual to $MOST_VIRTUAL" }
             require(!virtual || rules == null && operator == null && !serve && !explain) { "--rules, --operator, --serve and --explain are not for --virtual" }
@@ -99,6 +107,7 @@
             val nomad = operators?.nomad ?: NomadOptions(on = jobFiles.isNotEmpty())
             val registered = jobFiles.map { RegisteredJobs.read(it) }
             val cluster = Files.json(settings, "local/settings.json") { LocalSettings(it, zones, machines) }
+            search?.let { return SearchRun(VirtualCluster(cluster, count, tuning.copy(rules = false)), cluster, count).run(it, seed, troubles) }
             if (virtual) return VirtualDay(cluster.setup(), machines, seed, withinS).play(jobs?.let { Files.json(it, "", JobFile::parse) }, troubles)
             val planned = if (jobs == null && jobFiles.isNotEmpty()) emptyList() else Files.json(jobs, "local/jobs.json", JobFile::parse)
             run(cluster, tuning, planned, troubles, document(), nomad, registered)
@@ -122,7 +131,7 @@
     }
 
     private fun run(settings: LocalSettings, tuning: Tuning, planned: List<PlannedJob>, troubles: List<Fault>, document: RulesDocument?, nomad: NomadOptions, documents: List<JobDocument>): Int {
-        val cluster = LocalCluster(settings, controllers, tuning, seed, planned, ::println, nomad = nomad)
+        val cluster = LocalCluster(settings, count, tuning, seed, planned, ::println, nomad = nomad)
         try {
             println("controllers: ${cluster.nodes.joinToString { "http://$it" }}")
             cluster.start(troubles)
@@ -178,6 +187,8 @@
     }
 
     private companion object {
+        const val DEFAULT_CONTROLLERS = 3
+        const val MOST_DAYS = 1_000_000
         const val MOST_MACHINES = 200
         const val MOST_VIRTUAL = 20_000
         const val STEP_MS = 50L
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalSettings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalSettings.kt
@@ -42,11 +42,11 @@
     }
 
     /** The file that the platform would hand to node [number] of the nodes at [listen]; [peers] are their other addresses. */
-    fun forNode(number: Int, listen: List<String>, peers: List<String>, statePort: Int, cloudPort: Int): Settings {
+    fun forNode(number: Int, listen: List<String>, peers: List<String>, state: String, cloud: String): Settings {
         val o = Json.obj().put("host_name", name(number)).put("zone", zones[number % zones.size]).put("api_addr", listen[number]).put("peer_listen", peers[number])
         val seeds = o.putArray("seeds")
         for (i in listen.indices) if (i != number) seeds.addObject().put("host_name", name(i)).put("zone", zones[i % zones.size]).put("address", peers[i])
-        o.putObject("external").put("cloud", "127.0.0.1:$cloudPort").put("state", "127.0.0.1:$statePort")
+        o.putObject("external").put("cloud", cloud).put("state", state)
         val p = params.deepCopy()
         p.put("nodes", listen.size).putArray("zones").apply { zones.forEach(::add) }
         o.set<JsonNode>("params", p)
@@ -64,6 +64,9 @@
         )
     }
 
+    val zoneNames: List<String> get() = zones
+    val teamNames: List<String> get() = params.list("teams").map { it.text("name") }
+
     /** What the analysis of rules wants to know of the cluster. */
     fun known() = Analysis.Known(
         params.list("teams").mapTo(HashSet()) { it.text("name") }, zones.toSet(),
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/local/Place.kt
@@ -0,0 +1,76 @@
+package org.honeyjunction.app.local
+
+import org.honeyjunction.emulator.VirtualClock
+import org.honeyjunction.emulator.VirtualLoop
+import org.honeyjunction.emulator.VirtualNet
+import org.honeyjunction.emulator.VirtualTime
+import org.honeyjunction.io.Loop
+import org.honeyjunction.standin.Loopback
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.SocketChannel
+import java.util.Random
+
+/** Where a whole cluster is played, and how its parts reach each other. */
+interface Place : AutoCloseable {
+    /** A process of its own, known by [name]. */
+    fun loop(name: String): Loop
+
+    /** Addresses on loopback that nobody else gets. */
+    fun addresses(count: Int): List<String>
+
+    /** Cuts a controller from the state service and from [others]; false where that can't be done. */
+    fun isolate(name: String, others: Set<String>, forMs: Long): Boolean
+}
+
+/** Threads and sockets, in real time. */
+class LoopbackPlace : Place {
+    private val reserved = ArrayList<SocketChannel>()
+
+    override fun loop(name: String): Loop = Loop()
+
+    override fun addresses(count: Int): List<String> = List(count) { reserve() }.onEach { reserved += it }.map { "127.0.0.1:${(it.localAddress as InetSocketAddress).port}" }
+
+    override fun isolate(name: String, others: Set<String>, forMs: Long) = false
+
+    override fun close() = reserved.forEach { it.close() }
+
+    private companion object {
+        /**
+         * A port that the system chooses, and gives to nobody else while this socket is bound to it; it does not listen, so
+         * a controller can, again and again.
+         */
+        fun reserve(): SocketChannel = SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(InetSocketAddress("127.0.0.1", 0))
+    }
+}
+
+/** Virtual time: nothing happens but what [time] is told to do, and one seed plays one way. */
+class VirtualPlace(seed: Long) : Place {
+    private val random = Random(seed)
+    val time = VirtualTime()
+    private val net = VirtualNet(time, random)
+
+    /** What processes did that nobody expected. */
+    val failures = ArrayList<Throwable>()
+
+    /** Those that act for the protocol's other sides keep the true time; a controller's clocks are its own. */
+    override fun loop(name: String): Loop {
+        val clock = if (name == Loopback.WORLD) VirtualClock(time) else VirtualClock(time, (random.nextDouble() - 0.5) * 2 * DRIFT, random.nextInt(2 * SKEW_MS).toLong() - SKEW_MS)
+        return VirtualLoop(name, net, clock) { failures += it }
+    }
+
+    override fun addresses(count: Int): List<String> = List(count) { net.address() }
+
+    override fun isolate(name: String, others: Set<String>, forMs: Long): Boolean {
+        val cut = if (random.nextBoolean()) VirtualNet.Cut.HOLD else VirtualNet.Cut.REFUSE
+        net.cutBetween(name, { it in others || it == Loopback.STATE }, cut, forMs)
+        return true
+    }
+
+    override fun close() = Unit
+
+    private companion object {
+        const val DRIFT = 0.0005
+        const val SKEW_MS = 100
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -0,0 +1,141 @@
+package org.honeyjunction.app.local
+
+import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.standin.Fault
+import org.honeyjunction.standin.PlannedJob
+import org.honeyjunction.standin.Users
+import org.honeyjunction.standin.Work
+import java.util.Random
+
+/** A short day of a whole cluster: what users bring, and what goes wrong. Its seed decides all else. */
+class ShortDay(val seed: Long, val jobs: List<PlannedJob>, val faults: List<Fault>) {
+    fun without(fault: Fault) = ShortDay(seed, jobs, faults - fault)
+}
+
+/** What came of a day. */
+class Played(val broken: List<String>, val unserved: List<String>, val terms: Long, val cancelled: Int, val lateWrites: Int, val starts: Int, val virtualMs: Long) {
+    val good get() = broken.isEmpty() && unserved.isEmpty()
+
+    /** The first thing that went wrong, in a word: the same after some troubles less shows that they had no part in it. */
+    val why get() = broken.firstOrNull()?.substringAfter(' ')?.substringBefore(':') ?: if (unserved.isEmpty()) "nothing" else "unserved"
+}
+
+/** Plays days with real controllers in virtual time: their links, their state service, machines, users and clocks are stand-ins. */
+class VirtualCluster(private val settings: LocalSettings, private val controllers: Int, private val tuning: Tuning, private val tell: (String) -> Unit = {}) {
+    fun play(day: ShortDay): Played {
+        val place = VirtualPlace(day.seed)
+        val cluster = LocalCluster(settings, controllers, tuning, day.seed, day.jobs, tell, place = place)
+        val troubledUntil = day.faults.maxOfOrNull { it.atMs + it.forMs } ?: 0
+        cluster.users.troubledUntil = troubledUntil
+        cluster.start(day.faults)
+        day.jobs.forEach { cluster.users.follow(it) }
+        val watch = cluster.loopback.watch
+        val end = maxOf(troubledUntil, day.jobs.maxOf { maxOf(it.atMs, it.cancelAtMs ?: 0) }) + AFTER_MS
+        while (place.time.now < end && watch.broken.isEmpty() && place.failures.isEmpty()) {
+            place.time.runUntil(place.time.now + STEP_MS)
+            if (place.time.now > troubledUntil + SETTLE_MS && cluster.users.jobs.all { it.over || it.stage == Users.Stage.ACCEPTED && lasting(it) }) break
+        }
+        place.failures.firstOrNull()?.let { watch.note(place.time.now, "failed: $it at ${it.stackTrace.firstOrNull()}") }
+        // What is over is asked for again; services are still known.
+        cluster.loopback.later(cluster.users::askAgain)
+        place.time.runUntil(place.time.now + ASK_AGAIN_MS)
+        if (watch.started == 0 && watch.broken.isEmpty()) watch.note(place.time.now, "nothing_ran")
+        val open = cluster.users.jobs.filter { !(it.over && it.stage != Users.Stage.REFUSED) && !(it.stage == Users.Stage.ACCEPTED && lasting(it)) }
+        return Played(watch.broken.toList(), open.map { "${it.spec.id} ${it.stage}${known(cluster, it.spec.id)}" }, cluster.loopback.term(), watch.cancelledAt.size, cluster.loopback.lateWrites, watch.started, place.time.now)
+    }
+
+    /** What the leader knows of a job that it should have served. */
+    private fun known(cluster: LocalCluster, id: String): String {
+        val state = cluster.controllers.nodes.firstNotNullOfOrNull { it.certainHolder }?.holder?.state ?: return ", no leader"
+        val job = state.job(id) ?: return ", not known to the leader"
+        val rooms = state.machines.filter { it.usable }.joinToString { "${it.name} in ${it.zone} ${state.room(it).gpus} free, takes more: ${it.takesMore}, held for ${it.heldForAt(state.now)}" }
+        return ": ${job.spec.kind} of ${job.spec.tasks}, needs ${job.spec.need}, waiting ${job.waiting.cardinality()}, placed ${job.placements.size}, startable ${job.startable}, not before ${job.notBefore - state.now} ms; $rooms"
+    }
+
+    private fun lasting(job: Users.Tracked) = job.spec.kind == JobKind.SERVICE && job.planned.cancelAtMs == null
+
+    private companion object {
+        const val STEP_MS = 1_000L
+        const val SETTLE_MS = 5_000L
+        const val ASK_AGAIN_MS = 8_000L
+
+        /** By then all that was accepted has run, long after the troubles. */
+        const val AFTER_MS = 240_000L
+    }
+}
+
+/** Draws short days with troubles that meet, and plays them until a rule breaks. */
+class Search(private val cluster: VirtualCluster, private val controllers: Int, private val zones: List<String>, private val teams: List<String>) {
+    private class Kind(val name: String, val mostS: Int, val text: (Random) -> String)
+
+    private val kinds = listOf(
+        Kind("kill leader", 9) { "kill holder" }, Kind("kill all", 4) { "kill all" }, Kind("kill a controller", 9) { "kill node ${it.nextInt(controllers)}" },
+        Kind("hang leader", 14) { "hang holder" }, Kind("refuse leader", 40) { "refuse holder" }, Kind("isolate leader", 60) { "isolate holder" },
+        Kind("isolate a controller", 40) { "isolate node ${it.nextInt(controllers)}" }, Kind("state outage", 40) { "state outage" }, Kind("delay writes", 25) { "delay writes" },
+        Kind("repeat reports", 40) { "repeat reports" }, Kind("deafen machines", 14) { "deafen ${1 + it.nextInt(4)} machines" }, Kind("hang machines", 12) { "hang ${1 + it.nextInt(3)} machines" },
+        Kind("cut machines", 12) { "cut ${1 + it.nextInt(4)} machines" }, Kind("cut a zone", 14) { "cut zone ${zones[it.nextInt(zones.size)]}" }, Kind("kill machines", 1) { "kill ${1 + it.nextInt(2)} machines" },
+        Kind("notice", 6) { "notice machine" },
+    )
+
+    /** How often two troubles met in the days drawn so far. */
+    val meetings = sortedMapOf<String, Int>()
+
+    /** The day of [seed]; with [faults], if there are any, instead of those that it would draw. */
+    fun draw(seed: Long, given: List<Fault> = emptyList()): ShortDay {
+        val random = Random(seed)
+        val count = 2 + random.nextInt(3)
+        var at = 5_000L + random.nextInt(9_000)
+        val drawn = ArrayList<Kind>()
+        val faults = ArrayList<Fault>()
+        repeat(count) {
+            val kind = kinds[random.nextInt(kinds.size)]
+            drawn += kind
+            val forMs = minOf(kind.mostS * 1_000L, 500L + random.nextInt(kind.mostS * 1_000))
+            faults += Fault.parse("at ${at / 1000.0}s ${kind.text(random)} for ${forMs / 1000.0}s")
+            // Aimed at moments that matter: at once, while a term is won, while its leader looks round, and when the first is nearly over.
+            at += GAPS_MS[random.nextInt(GAPS_MS.size)] + random.nextInt(400)
+        }
+        for (a in drawn.indices) for (b in 0 until a) meetings.merge(listOf(drawn[a].name, drawn[b].name).sorted().joinToString(" + "), 1, Int::plus)
+        return ShortDay(seed, jobs(random), given.ifEmpty { faults })
+    }
+
+    private fun jobs(random: Random) = List(JOBS) { n ->
+        val kind = when (n % 5) { 0 -> JobKind.SERVICE; 1 -> JobKind.GANG; else -> JobKind.ARRAY }
+        val runS = if (n % 4 == 3) 40.0 + random.nextInt(40) else 2.0 + random.nextInt(14)
+        val atMs = random.nextInt(20_000).toLong()
+        val tasks = if (kind == JobKind.ARRAY && n % 3 == 0) 6 + random.nextInt(8) else 1 + random.nextInt(3)
+        val cancels = n % 4 == 3 || random.nextInt(5) == 0
+        val spec = JobSpec(
+            "j-%06d".format(n + 1), kind.name.lowercase(), teams[n % teams.size], kind, if (kind == JobKind.SERVICE) Priority.PRODUCTION else Priority.NORMAL, tasks,
+            Resources(2.0, if (n % 2 == 0) 1.0 else 2.0, 4.0), "i${n % 3}", 2.0, null, null, kind == JobKind.GANG, kind == JobKind.SERVICE, kind == JobKind.ARRAY, runS,
+            if (n % 2 == 0) 3.0 else 0.0, 1.0, null,
+        )
+        PlannedJob(Work(spec, runS), atMs, if (cancels) atMs + 3_000 + random.nextInt(40_000) else null)
+    }
+
+    /** The fewest troubles of [day] with which the same goes wrong. */
+    fun shrink(day: ShortDay, why: String): ShortDay {
+        var least = day
+        var smaller = true
+        while (smaller) {
+            smaller = false
+            for (fault in least.faults) {
+                val next = least.without(fault)
+                if (cluster.play(next).why != why) continue
+                least = next
+                smaller = true
+                break
+            }
+        }
+        return least
+    }
+
+    private companion object {
+        const val JOBS = 10
+        val GAPS_MS = listOf(0, 300, 1_000, 2_500, 5_000, 6_500, 9_000, 15_000)
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/emulator/Day.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Day.kt
@@ -34,27 +34,32 @@
             Fault.Whom.Cloud -> world.cloudDown = true
             // One holder acts here at a time: whichever node is meant, its successor is elected when its lease is over.
             Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node -> when (f.what) {
-                Fault.What.REFUSE -> world.cutOff()
+                Fault.What.REFUSE, Fault.What.ISOLATE -> world.cutOff()
                 Fault.What.HANG -> world.freeze(f.forMs)
                 else -> world.crash()
             }
             Fault.Whom.Boots -> if (f.what == Fault.What.SLOW) world.bootFactor = Fault.SLOW_BOOTS else world.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
             // Users do not ask here.
             Fault.Whom.Polls -> Unit
+            Fault.Whom.Reports -> world.lateReports = (Fault.SHARE * 100).toInt()
+            // Some are always late here.
+            Fault.Whom.Writes -> Unit
             Fault.Whom.Machine, is Fault.Whom.Machines, is Fault.Whom.Zone -> victims(f.whom, world.workers.values, world.random).forEach { w ->
                 when (f.what) {
                     Fault.What.KILL -> w.dead = true
                     Fault.What.HANG -> w.hungUntil = until
                     Fault.What.CUT -> w.cutUntil = until
+                    Fault.What.DEAFEN -> w.deafUntil = until
                     Fault.What.NOTICE -> {
                         w.noticeS = f.forMs / 1000.0
                         world.at(f.forMs) { w.dead = true }
                     }
-                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
+                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
                 }
             }
         }
         if (f.whom == Fault.Whom.State) world.at(f.forMs) { world.state.down = false }
+        if (f.whom == Fault.Whom.Reports) world.at(f.forMs) { world.lateReports = 0 }
         if (f.whom == Fault.Whom.Cloud) world.at(f.forMs) { world.cloudDown = false }
         if (f.whom == Fault.Whom.Boots) world.at(f.forMs) { if (f.what == Fault.What.SLOW) world.bootFactor = 1.0 else world.bootFailsOneIn = 0 }
     }
@@ -64,7 +69,7 @@
         is Fault.Whom.Zone -> "zone ${whom.name}"
         is Fault.Whom.Node -> "node ${whom.number}"
         Fault.Whom.AllNodes -> "all nodes"
-        Fault.Whom.Boots, Fault.Whom.Polls -> whom.toString().lowercase()
+        Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> whom.toString().lowercase()
         Fault.Whom.Holder, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
     }
 
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/emulator/VirtualLoop.kt
@@ -0,0 +1,84 @@
+package org.honeyjunction.emulator
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.disposeOnCancellation
+import org.honeyjunction.io.Clock
+import org.honeyjunction.io.Link
+import org.honeyjunction.io.Listener
+import org.honeyjunction.io.Loop
+import kotlin.coroutines.CoroutineContext
+
+/** A process's clocks: its steady one starts anywhere and runs a little fast or slow, its time of day is off by [skewMs]. */
+class VirtualClock(private val time: VirtualTime, private val drift: Double = 0.0, private val skewMs: Long = 0) : Clock {
+    override fun steady() = STARTED_MS + (time.now * (1 + drift)).toLong()
+
+    override fun wall() = EPOCH_MS + time.now + skewMs
+
+    private companion object {
+        const val STARTED_MS = 1_000_000L
+        const val EPOCH_MS = 1_764_630_000_000L
+    }
+}
+
+/**
+ * A process in virtual time, whose connections are those of [net]. It can be killed, after which nothing of it ever runs, and it can stand still
+ * while its clocks run on: what came meanwhile is done afterwards, in its order.
+ */
+@OptIn(InternalCoroutinesApi::class)
+class VirtualLoop private constructor(private val name: String, private val net: VirtualNet, override val clock: Clock, private val process: Process) : Loop {
+    constructor(name: String, net: VirtualNet, clock: Clock = VirtualClock(net.time), failed: (Throwable) -> Unit) : this(name, net, clock, Process(net.time, failed))
+
+    /** What several names of one process share. */
+    private class Process(private val time: VirtualTime, failed: (Throwable) -> Unit) : CoroutineDispatcher(), Delay {
+        var dead = false
+        var frozenUntil = 0L
+        val scope = CoroutineScope(SupervisorJob() + this + CoroutineExceptionHandler { _, e -> failed(e) })
+
+        private fun at(moment: Long, run: () -> Unit): () -> Unit = time.at(moment) { whenAwake(run) }
+
+        private fun whenAwake(run: () -> Unit) {
+            if (dead) return
+            if (time.now < frozenUntil) time.at(frozenUntil) { whenAwake(run) } else run()
+        }
+
+        override fun dispatch(context: CoroutineContext, block: Runnable) {
+            at(time.now) { block.run() }
+        }
+
+        override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
+            val cancel = at(time.now + maxOf(timeMillis, 0)) { with(continuation) { resumeUndispatched(Unit) } }
+            continuation.disposeOnCancellation(DisposableHandle { cancel() })
+        }
+
+        override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+            val cancel = at(time.now + maxOf(timeMillis, 0)) { block.run() }
+            return DisposableHandle { cancel() }
+        }
+    }
+
+    override val scope get() = process.scope
+
+    override suspend fun connect(address: String): Link = net.connect(name, address)
+
+    override fun listen(address: String): Listener = net.listen(name, address)
+
+    override fun occupy(ms: Long) {
+        process.frozenUntil = maxOf(process.frozenUntil, net.time.now + ms)
+    }
+
+    override fun named(name: String): Loop = VirtualLoop(name, net, clock, process)
+
+    /** As a process that is killed: its connections are reset by its machine. */
+    override fun close() {
+        process.dead = true
+        net.reset(name)
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/io/Channels.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Channels.kt
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousChannelGroup
 import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 import java.nio.channels.CompletionHandler
@@ -35,33 +36,61 @@
     }
 }
 
-suspend fun AsynchronousServerSocketChannel.awaitAccept(): AsynchronousSocketChannel =
-    await<AsynchronousSocketChannel> { accept(Unit, it) }
+class ChannelLink(private val channel: AsynchronousSocketChannel) : Link {
+    override suspend fun read(buffer: ByteBuffer): Int = channel.await<Int> { channel.read(buffer, Unit, it) }
 
-suspend fun AsynchronousSocketChannel.awaitConnect(address: InetSocketAddress) {
-    await<Void?> { connect(address, Unit, it) }
-}
+    override suspend fun write(bytes: ByteArray) {
+        val buffer = ByteBuffer.wrap(bytes)
+        while (buffer.hasRemaining()) channel.await<Int> { channel.write(buffer, Unit, it) }
+    }
 
-suspend fun AsynchronousSocketChannel.awaitRead(buffer: ByteBuffer): Int = await<Int> { read(buffer, Unit, it) }
+    override fun close() = quietly { channel.close() }
 
-suspend fun AsynchronousSocketChannel.awaitWrite(bytes: ByteArray) {
-    val buffer = ByteBuffer.wrap(bytes)
-    while (buffer.hasRemaining()) await<Int> { write(buffer, Unit, it) }
+    companion object {
+        suspend fun connect(group: AsynchronousChannelGroup, address: String): Link {
+            val channel = AsynchronousSocketChannel.open(group)
+            var connected = false
+            try {
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                channel.await<Void?> { channel.connect(socketAddress(address), Unit, it) }
+                connected = true
+                return ChannelLink(channel)
+            } finally {
+                if (!connected) quietly { channel.close() }
+            }
+        }
+    }
 }
 
-suspend fun Loop.connect(address: String): AsynchronousSocketChannel {
-    val channel = AsynchronousSocketChannel.open(group)
-    var connected = false
-    try {
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-        channel.awaitConnect(socketAddress(address))
-        connected = true
-        return channel
-    } finally {
-        if (!connected) quietly { channel.close() }
+class ChannelListener(group: AsynchronousChannelGroup, address: String) : Listener {
+    private val server = AsynchronousServerSocketChannel.open(group)
+
+    init {
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        server.bind(listenAddress(address), BACKLOG)
+    }
+
+    override val address: String = (server.localAddress as InetSocketAddress).let { "${it.address.hostAddress}:${it.port}" }
+    override val isOpen: Boolean get() = server.isOpen
+
+    override suspend fun accept(): Link {
+        val channel = server.await<AsynchronousSocketChannel> { server.accept(Unit, it) }
+        quietly { channel.setOption(StandardSocketOptions.TCP_NODELAY, true) }
+        return ChannelLink(channel)
+    }
+
+    override fun close() = quietly { server.close() }
+
+    private companion object {
+        const val BACKLOG = 512
     }
 }
 
+private fun listenAddress(text: String) = if (text == ANY_PORT) InetSocketAddress(ANY_PORT.substringBefore(':'), 0) else socketAddress(text)
+
+/** On loopback, at a port that the system chooses. */
+const val ANY_PORT = "127.0.0.1:0"
+
 /** An address of the settings: an IPv4 number and a port, never looked up. */
 fun socketAddress(text: String): InetSocketAddress {
     val host = text.substringBeforeLast(':')
--- a/src/main/kotlin/org/honeyjunction/io/Connections.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Connections.kt
@@ -1,23 +1,22 @@
 package org.honeyjunction.io
 
-import java.nio.channels.AsynchronousSocketChannel
 
 /** Connections that are kept for the next request, [most] in all and [perAddress] to each; the longest unused make way. */
 class Connections(private val loop: Loop, private val most: Int, private val perAddress: Int = most) {
-    private class Idle(val address: String, val channel: AsynchronousSocketChannel)
+    private class Idle(val address: String, val channel: Link)
 
     private val idle = LinkedHashSet<Idle>()
     private val byAddress = HashMap<String, ArrayDeque<Idle>>()
 
-    suspend fun take(address: String): AsynchronousSocketChannel {
+    suspend fun take(address: String): Link {
         val kept = byAddress[address]?.lastOrNull() ?: return loop.connect(address)
         drop(kept)
         return kept.channel
     }
 
-    fun keep(address: String, channel: AsynchronousSocketChannel) {
+    fun keep(address: String, channel: Link) {
         val there = byAddress.getOrPut(address, ::ArrayDeque)
-        if (there.size >= perAddress) return quietly { channel.close() }
+        if (there.size >= perAddress) return channel.close()
         val entry = Idle(address, channel)
         there.addLast(entry)
         idle += entry
@@ -28,7 +27,7 @@
 
     private fun close(entry: Idle) {
         drop(entry)
-        quietly { entry.channel.close() }
+        entry.channel.close()
     }
 
     private fun drop(entry: Idle) {
--- a/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpClient.kt
@@ -10,7 +10,6 @@
 import org.honeyjunction.wire.Response
 import java.io.IOException
 import java.nio.ByteBuffer
-import java.nio.channels.AsynchronousSocketChannel
 
 /** No answer: the request may have been executed, or may yet be. */
 class NoAnswerException(message: String, cause: Throwable? = null) : IOException(message, cause)
@@ -36,23 +35,23 @@
         var done = false
         try {
             if (!still()) throw NoAnswerException("not sent to $address: it is over")
-            channel.awaitWrite(HttpWriter.request(address, request))
+            channel.write(HttpWriter.request(address, request))
             val message = read(channel)
             val status = message.start[1].toIntOrNull() ?: throw IOException("bad status")
             done = !message.closes
             if (done) connections.keep(address, channel)
             return Response(status, message.body, message.headers["retry-after"]?.toIntOrNull())
         } finally {
-            if (!done) quietly { channel.close() }
+            if (!done) channel.close()
         }
     }
 
-    private suspend fun read(channel: AsynchronousSocketChannel): HttpMessage {
+    private suspend fun read(channel: Link): HttpMessage {
         val parser = HttpParser(HttpParser.Kind.RESPONSE, limits)
         val buffer = ByteBuffer.allocate(BUFFER)
         while (true) {
             buffer.clear()
-            val count = channel.awaitRead(buffer)
+            val count = channel.read(buffer)
             buffer.flip()
             when (val outcome = if (count < 0) parser.end() else parser.feed(buffer)) {
                 is HttpParser.Done -> return outcome.message
--- a/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
+++ b/src/main/kotlin/org/honeyjunction/io/HttpServer.kt
@@ -13,11 +13,7 @@
 import org.honeyjunction.wire.Response
 import org.slf4j.LoggerFactory
 import java.io.IOException
-import java.net.InetSocketAddress
-import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
-import java.nio.channels.AsynchronousServerSocketChannel
-import java.nio.channels.AsynchronousSocketChannel
 
 /**
  * Serves HTTP/1.1 without pipelining, each connection by a coroutine of its own. Those that ask what [mayClose] are workers'
@@ -32,23 +28,21 @@
     private val handle: suspend (Request) -> Response,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
-    private val budget = SocketBudget<AsynchronousSocketChannel>(maxConnections)
+    private val budget = SocketBudget<Link>(maxConnections)
 
     /** For the log: connections now, and the most at once. */
     val census get() = "${budget.open} connections, at most ${budget.peak} of $maxConnections"
 
-    fun listen(address: InetSocketAddress): AsynchronousServerSocketChannel {
-        val server = AsynchronousServerSocketChannel.open(loop.group)
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        server.bind(address, BACKLOG)
+    fun listen(address: String): Listener {
+        val server = loop.listen(address)
         loop.scope.launch { acceptAll(server, this) }
         return server
     }
 
-    private suspend fun acceptAll(server: AsynchronousServerSocketChannel, scope: CoroutineScope) {
+    private suspend fun acceptAll(server: Listener, scope: CoroutineScope) {
         while (server.isOpen) {
             val channel = try {
-                server.awaitAccept()
+                server.accept()
             } catch (e: IOException) {
                 // Out of sockets, most likely: the listener itself is still good.
                 log.debug("accept failed: {}", e.message)
@@ -57,15 +51,14 @@
             }
             when (val verdict = budget.admit(channel)) {
                 is SocketBudget.Verdict.Refused -> {
-                    quietly { channel.close() }
+                    channel.close()
                     continue
                 }
-                is SocketBudget.Verdict.InPlaceOf -> quietly { verdict.victim.close() }
+                is SocketBudget.Verdict.InPlaceOf -> verdict.victim.close()
                 is SocketBudget.Verdict.Admitted -> Unit
             }
             scope.launch {
                 try {
-                    channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
                     serve(channel)
                 } catch (_: IOException) {
                     // The other side went away.
@@ -73,24 +66,24 @@
                     // Idle for too long.
                 } finally {
                     budget.gone(channel)
-                    quietly { channel.close() }
+                    channel.close()
                 }
             }
         }
     }
 
-    private suspend fun serve(channel: AsynchronousSocketChannel) {
+    private suspend fun serve(channel: Link) {
         val parser = HttpParser(HttpParser.Kind.REQUEST, HttpLimits(body = mostBytes))
         val buffer = ByteBuffer.allocate(BUFFER)
         buffer.flip()
         while (true) {
             var outcome = parser.feed(buffer)
-            val deadline = Clock.steady() + MESSAGE_MS
+            val deadline = loop.clock.steady() + MESSAGE_MS
             while (outcome is HttpParser.More) {
                 buffer.clear()
-                val patience = if (parser.midway) deadline - Clock.steady() else IDLE_MS
+                val patience = if (parser.midway) deadline - loop.clock.steady() else IDLE_MS
                 val count = try {
-                    withTimeout(maxOf(patience, 1)) { channel.awaitRead(buffer) }
+                    withTimeout(maxOf(patience, 1)) { channel.read(buffer) }
                 } catch (e: TimeoutCancellationException) {
                     throw IOException("too slow", e)
                 }
@@ -117,8 +110,8 @@
         }
     }
 
-    private suspend fun write(channel: AsynchronousSocketChannel, response: Response) =
-        withTimeout(MESSAGE_MS) { channel.awaitWrite(HttpWriter.response(response)) }
+    private suspend fun write(channel: Link, response: Response) =
+        withTimeout(MESSAGE_MS) { channel.write(HttpWriter.response(response)) }
 
     private suspend fun answer(request: Request): Response =
         try {
@@ -132,7 +125,6 @@
         }
 
     private companion object {
-        const val BACKLOG = 512
         const val BUFFER = 4096
         const val MESSAGE_MS = 8_000L
         const val IDLE_MS = 120_000L
--- a/src/main/kotlin/org/honeyjunction/io/Peers.kt
+++ b/src/main/kotlin/org/honeyjunction/io/Peers.kt
@@ -10,14 +10,10 @@
 import org.honeyjunction.wire.PeerMessage
 import org.slf4j.LoggerFactory
 import java.io.IOException
-import java.net.InetSocketAddress
-import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
-import java.nio.channels.AsynchronousServerSocketChannel
-import java.nio.channels.AsynchronousSocketChannel
 
 /** One end of a connection between controllers. */
-private class PeerConnection(private val channel: AsynchronousSocketChannel) {
+private class PeerConnection(private val channel: Link) {
     private val input = Buffer()
     private val buffer = ByteBuffer.allocate(BUFFER)
 
@@ -25,15 +21,15 @@
         while (true) {
             PeerCodec.decode(input)?.let { return it }
             buffer.clear()
-            if (channel.awaitRead(buffer) < 0) return null
+            if (channel.read(buffer) < 0) return null
             buffer.flip()
             input.write(buffer)
         }
     }
 
-    suspend fun write(message: PeerMessage) = channel.awaitWrite(PeerCodec.encode(message))
+    suspend fun write(message: PeerMessage) = channel.write(PeerCodec.encode(message))
 
-    fun close() = quietly { channel.close() }
+    fun close() = channel.close()
 
     private companion object {
         const val BUFFER = 8192
@@ -44,21 +40,19 @@
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
     private var open = 0
 
-    fun listen(address: InetSocketAddress) {
-        val server = AsynchronousServerSocketChannel.open(loop.group)
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        server.bind(address)
+    fun listen(address: String) {
+        val server = loop.listen(address)
         loop.scope.launch {
             while (server.isOpen) {
                 val channel = try {
-                    server.awaitAccept()
+                    server.accept()
                 } catch (e: IOException) {
                     log.debug("accept failed: {}", e.message)
                     delay(ACCEPT_RETRY_MS)
                     continue
                 }
                 if (open >= MAX_CONNECTIONS) {
-                    quietly { channel.close() }
+                    channel.close()
                     continue
                 }
                 open++
@@ -67,7 +61,7 @@
         }
     }
 
-    private suspend fun serve(channel: AsynchronousSocketChannel) {
+    private suspend fun serve(channel: Link) {
         val connection = PeerConnection(channel)
         try {
             while (true) {
--- a/src/main/kotlin/org/honeyjunction/standin/CloudServer.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/CloudServer.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.standin
 
+import org.honeyjunction.io.ANY_PORT
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.CloudCodec
@@ -8,14 +9,11 @@
 import org.honeyjunction.wire.Request
 import org.honeyjunction.wire.Response
 import org.honeyjunction.core.model.MachineType
-import java.net.InetSocketAddress
 
 /** The cloud over HTTP. */
 class CloudServer(private val loop: Loop, private val cloud: Cloud, private val types: List<MachineType>, private val zones: List<String>, private val now: () -> Long, private val released: (List<String>) -> Unit) {
-    fun listen(): Int {
-        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }) { answer(it) }.listen(InetSocketAddress("127.0.0.1", 0))
-        return (server.localAddress as InetSocketAddress).port
-    }
+    /** The address that it listens on. */
+    fun listen(): String = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }) { answer(it) }.listen(ANY_PORT).address
 
     private fun answer(r: Request): Response {
         if (!cloud.request(now())) return Response(429)
--- a/src/main/kotlin/org/honeyjunction/standin/Fault.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Fault.kt
@@ -15,6 +15,18 @@
 
         /** Users ask about each job ten times at once. */
         STORM,
+
+        /** A controller loses the state service and the other controllers, not its workers and users. In virtual time only. */
+        ISOLATE,
+
+        /** Reports arrive; answers and commands to the machine are lost. */
+        DEAFEN,
+
+        /** Four in ten transactions get no answer and are carried out 2 to 12 s later. */
+        DELAY,
+
+        /** Of four in ten reports a copy arrives again, from 2 s to two leases later. */
+        REPEAT,
     }
 
     sealed interface Whom {
@@ -42,17 +54,40 @@
 
         /** What users ask about their jobs. */
         data object Polls : Whom
+
+        /** Transactions of the state service. */
+        data object Writes : Whom
+
+        /** What workers say of themselves. */
+        data object Reports : Whom
+    }
+
+    /** As it is written. */
+    override fun toString(): String {
+        val target = when (whom) {
+            Whom.Holder -> "holder"
+            Whom.AllNodes -> "all"
+            is Whom.Node -> "node ${whom.number}"
+            Whom.Machine -> "machine"
+            is Whom.Machines -> "${whom.count} machines"
+            is Whom.Zone -> "zone ${whom.name}"
+            Whom.State, Whom.Cloud -> "outage"
+            Whom.Boots, Whom.Polls, Whom.Writes, Whom.Reports -> whom.toString().lowercase()
+        }
+        val verb = if (whom == Whom.State || whom == Whom.Cloud) whom.toString().lowercase() else what.name.lowercase()
+        return "at ${atMs / 1000.0}s $verb $target for ${forMs / 1000.0}s"
     }
 
     companion object {
-        const val FORM = "at <seconds>s (kill|hang|refuse) (holder|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice) (machine|<n> machines|zone <name>) [for <seconds>s], " +
-            "at <seconds>s (state|cloud) outage [for <seconds>s], at <seconds>s (slow|lose) boots [for <seconds>s], or at <seconds>s storm polls [for <seconds>s]"
+        const val FORM = "at <seconds>s (kill|hang|refuse|isolate) (holder|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice|deafen) (machine|<n> machines|zone <name>) [for <seconds>s], " +
+            "at <seconds>s (state|cloud) outage [for <seconds>s], at <seconds>s (slow|lose) boots [for <seconds>s], or at <seconds>s (storm polls|delay writes|repeat reports) [for <seconds>s]"
+        const val SHARE = 0.4
         const val SLOW_BOOTS = 4.0
         const val LOST_BOOTS_ONE_IN = 4
         const val STORM_POLLS = 10
         private const val DEFAULT_MS = 4_000L
         private const val MAX_S = 3_600.0
-        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|notice|state|cloud|slow|lose|storm) (holder|all|machine|outage|boots|polls|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
+        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|isolate|notice|deafen|state|cloud|slow|lose|storm|delay|repeat) (holder|all|machine|outage|boots|polls|writes|reports|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
 
         /** Throws with what is wrong with [text]. */
         fun parse(text: String): Fault {
@@ -66,6 +101,8 @@
                 target == "machine" -> Whom.Machine
                 target == "boots" -> Whom.Boots
                 target == "polls" -> Whom.Polls
+                target == "writes" -> Whom.Writes
+                target == "reports" -> Whom.Reports
                 target.startsWith("zone ") -> Whom.Zone(target.removePrefix("zone "))
                 target.endsWith(" machines") -> Whom.Machines(target.substringBefore(' ').toInt())
                 target.startsWith("node ") -> Whom.Node(target.removePrefix("node ").toInt())
@@ -73,9 +110,11 @@
             }
             val what = if (whom == Whom.State || whom == Whom.Cloud) What.OUTAGE else What.valueOf(verb.uppercase())
             val fits = when (what) {
-                What.KILL, What.HANG -> whom != Whom.Boots && whom != Whom.Polls
-                What.CUT, What.NOTICE -> ofMachines(whom)
-                What.REFUSE -> whom == Whom.Holder || whom == Whom.AllNodes || whom is Whom.Node
+                What.KILL, What.HANG -> ofMachines(whom) || ofNodes(whom)
+                What.CUT, What.NOTICE, What.DEAFEN -> ofMachines(whom)
+                What.DELAY -> whom == Whom.Writes
+                What.REPEAT -> whom == Whom.Reports
+                What.REFUSE, What.ISOLATE -> ofNodes(whom)
                 What.SLOW, What.LOSE -> whom == Whom.Boots
                 What.STORM -> whom == Whom.Polls
                 What.OUTAGE -> true
@@ -84,6 +123,8 @@
             return Fault(millis(at, text), what, whom, if (length.isEmpty()) DEFAULT_MS else millis(length, text))
         }
 
+        private fun ofNodes(whom: Whom) = whom == Whom.Holder || whom == Whom.AllNodes || whom is Whom.Node
+
         private fun ofMachines(whom: Whom) = whom == Whom.Machine || whom is Whom.Machines || whom is Whom.Zone
 
         private fun millis(seconds: String, text: String): Long {
@@ -100,6 +141,6 @@
         Fault.Whom.Machine -> there.filter { w -> w.tasks.values.any { it.live } }.shuffled(random).take(1)
         is Fault.Whom.Machines -> there.shuffled(random).sortedByDescending { w -> w.tasks.values.any { it.live } }.take(whom.count)
         is Fault.Whom.Zone -> there.filter { it.box.zone == whom.name }
-        Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls -> emptyList()
+        Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> emptyList()
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.model.MachineType
 import org.honeyjunction.core.model.Team
-import org.honeyjunction.io.Clock
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.given
@@ -17,27 +16,32 @@
 )
 
 /** The state service, the cloud and the workers on loopback, and the watch over what they see. All on one thread of their own. */
-class Loopback(private val settings: LoopbackSettings, private val nodes: List<Pair<String, String>>, seed: Long, private val work: (String) -> Work?) {
-    val loop = Loop()
+class Loopback(private val settings: LoopbackSettings, private val nodes: List<Pair<String, String>>, seed: Long, val loop: Loop = Loop(), private val work: (String) -> Work?) {
     private val random = Random(seed)
-    private val startedAt = Clock.steady()
+    private val startedAt = loop.clock.steady()
     val store = Store(settings.store, 0)
     val cloud = Cloud(settings.types, settings.zones, settings.machines, settings.cloudRps, settings.listLagMs, Random(random.nextLong()), 0)
     val watch = Watch(settings.teams.associate { it.name to it.limit }, settings.cancelMs)
     private val gangs = Gangs(settings.timing)
     private val saved = HashMap<String, Double>()
     private val hosts = LinkedHashMap<String, WorkerHost>()
-    private val stateServers = nodes.map { StateServer(loop, store, Random(random.nextLong()), ::now) }
-    private val cloudServer = CloudServer(loop, cloud, settings.types, settings.zones, ::now) { names -> names.forEach(::remove) }
+    private var repeatUntil = 0L
+    private val stateServers = nodes.map { StateServer(loop.named(STATE), store, Random(random.nextLong()), ::now) }
+    private val cloudServer = CloudServer(loop.named(CLOUD), cloud, settings.types, settings.zones, ::now) { names -> names.forEach(::remove) }
 
     val workers: List<Worker> get() = hosts.values.map { it.worker }
 
     /** Milliseconds since the start. */
-    fun now(): Long = Clock.steady() - startedAt
+    fun now(): Long = loop.clock.steady() - startedAt
 
     /** Addresses of the state service, node by node, and of the cloud. */
-    val statePorts: List<Int> = stateServers.map { it.listen() }
-    val cloudPort: Int = cloudServer.listen()
+    val stateAddresses: List<String> = stateServers.map { it.listen() }
+    val cloudAddress: String = cloudServer.listen()
+
+    /** Does [what] on the stand-ins' thread, some time soon. */
+    fun later(what: suspend () -> Unit) {
+        loop.scope.launch { what() }
+    }
 
     fun start() {
         loop.scope.launch {
@@ -65,9 +69,11 @@
     }
 
     private fun boot(m: Cloud.Machine) {
-        val host = WorkerHost(loop, nodes, settings.reportMs, Random(random.nextLong()), ::now)
+        val host = WorkerHost(loop.named(m.name), nodes, settings.reportMs, Random(random.nextLong()), ::now)
         m.address = host.address
-        host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), ::described, saved)
+        host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), ::described, saved, watch.completed)
+        host.repeatUntil = repeatUntil
+        host.repeatWithinMs = (settings.timing.leaseMs * 2).toInt()
         hosts[m.name] = host
         host.start()
     }
@@ -93,6 +99,15 @@
         }
     }
 
+    val lateWrites get() = stateServers.sumOf { it.lateWrites }
+
+    fun delayWrites(forMs: Long) = stateServers.forEach { it.lateUntil = now() + forMs }
+
+    fun repeatReports(forMs: Long) {
+        repeatUntil = now() + forMs
+        hosts.values.forEach { it.repeatUntil = repeatUntil }
+    }
+
     /** What is rented for [forMs] boots badly. */
     fun boots(what: Fault.What, forMs: Long) {
         if (what == Fault.What.SLOW) cloud.bootFactor = Fault.SLOW_BOOTS else cloud.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
@@ -116,7 +131,8 @@
                     cloud.machines.remove(w.name)
                 }
             }
-            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM -> Unit
+            Fault.What.DEAFEN -> w.deafUntil = now() + f.forMs
+            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
         }
     }.map { it.name }
 
@@ -131,15 +147,22 @@
 
     fun close() = loop.close()
 
-    private companion object {
-        const val STEP_MS = 20L
-        const val DEATH_SEEN_MS = 3_000L
+    companion object {
+        /** Names on a network that knows names; machines have their own. */
+        const val STATE = "state"
+        const val CLOUD = "cloud"
+        const val USERS = "users"
+
+        /** The one process of all stand-ins. */
+        const val WORLD = "world"
+        private const val STEP_MS = 20L
+        private const val DEATH_SEEN_MS = 3_000L
 
         /** Two records of the project's own, read only to tell who holds the term. */
-        const val LEAD = "lead"
+        private const val LEAD = "lead"
 
         /** Tasks whose image has such a name fail wherever they start. */
-        const val FAILING = "/fails"
-        const val TERM = "term"
+        private const val FAILING = "/fails"
+        private const val TERM = "term"
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
@@ -1,25 +1,31 @@
 package org.honeyjunction.standin
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.io.ANY_PORT
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.OtherSide
 import org.honeyjunction.wire.Request
 import org.honeyjunction.wire.Response
-import java.net.InetSocketAddress
 import java.util.Random
 
 /** One node's way to the store, over HTTP: so one node alone can be refused. */
 class StateServer(private val loop: Loop, private val store: Store, private val random: Random, private val now: () -> Long) {
     /** Until then this node alone is refused. */
     var refusedUntil = 0L
+
+    /** Until then some transactions get no answer and are carried out after newer ones. */
+    var lateUntil = 0L
+
+    /** How many were carried out late. */
+    var lateWrites = 0
+        private set
     private val shut get() = store.down || now() < refusedUntil
 
-    fun listen(): Int {
-        val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(InetSocketAddress("127.0.0.1", 0))
-        return (server.localAddress as InetSocketAddress).port
-    }
+    /** The address that it listens on. */
+    fun listen(): String = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(ANY_PORT).address
 
     private suspend fun answer(r: Request): Response {
         val query = r.target.substringAfter('?', "").split('&').filter { '=' in it }.associate { it.substringBefore('=') to it.substringAfter('=') }
@@ -66,6 +72,7 @@
     private suspend fun commit(r: Request): Response {
         val call = OtherSide.commit(r.body)
         val puts = call.puts.map { (key, value, lease) -> Store.Put(key, value, lease) }
+        if (now() < lateUntil && random.nextDouble() < Fault.SHARE) return late(call.conditions, puts)
         val fate = random.nextInt(FATES)
         if (fate == LATE) {
             delay(LATE_MS)
@@ -82,6 +89,16 @@
         }
     }
 
+    private suspend fun late(conditions: Map<String, Long>, puts: List<Store.Put>): Response {
+        val afterMs = 2_000L + random.nextInt(10_000)
+        loop.scope.launch {
+            delay(afterMs)
+            if (!shut && store.commit(conditions, puts, now()) is Store.Commit.Applied) lateWrites++
+        }
+        delay(NO_ANSWER_MS)
+        return Response(503)
+    }
+
     private suspend fun changes(query: Map<String, String>): Response {
         val prefix = query["Starts"].orEmpty()
         val since = query["Since"]?.toLongOrNull() ?: return Response(400)
@@ -105,5 +122,6 @@
         const val LATE = 0
         const val UNANSWERED = 1
         const val LATE_MS = 2_500L
+        const val NO_ANSWER_MS = 15_000L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Users.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Users.kt
@@ -24,6 +24,7 @@
             private set
         var acceptedMs: Long? = null
         var finalMs: Long? = null
+        var answeredMs = 0L
         var why = ""
         var cancelWanted = false
         val over get() = stage >= Stage.DONE
@@ -36,6 +37,8 @@
         }
     }
 
+    /** Until then there are troubles; a job that nobody answers for has 75 s more. */
+    var troubledUntil = 0L
     private val clients = nodes.map { HttpClient(Connections(loop, most = 32), it) }
     private var turn = 0
     val jobs = ArrayList<Tracked>()
@@ -80,6 +83,7 @@
                 200, 201 -> {
                     job.enter(Stage.ACCEPTED)
                     job.acceptedMs = now()
+                    job.answeredMs = now()
                     return
                 }
                 400, 422 -> {
@@ -97,8 +101,10 @@
 
     private suspend fun poll(job: Tracked) {
         val overBefore = job.over
-        val r = ask("GET", "$RUNS/${job.spec.id}", timeoutMs = ANSWER_MS) ?: return
-        when (r.status) {
+        val r = ask("GET", "$RUNS/${job.spec.id}", timeoutMs = ANSWER_MS)
+        if (r?.status == 200) job.answeredMs = now()
+        else if (job.stage == Stage.ACCEPTED && now() - maxOf(job.answeredMs, troubledUntil) > UNANSWERED_MS) watch.note(now(), "forgotten: nobody answers for ${job.spec.id}")
+        when (r?.status) {
             // Only a question that was asked after an answer may not be told less.
             200 -> if (overBefore || !job.over) told(job, r)
             404 -> {
@@ -119,6 +125,10 @@
             "cancelled" -> Stage.CANCELLED
             else -> if (job.stage == Stage.ACCEPTED) return else Stage.ACCEPTED
         }
+        if (next == Stage.DONE) {
+            val open = (0 until job.spec.tasks).firstOrNull { "${job.spec.id}/$it" !in watch.completed }
+            if (open != null) watch.note(now(), "not_done: ${job.spec.id} is called done, but not its task $open")
+        }
         if (!job.enter(next)) watch.note(now(), "went_back: ${job.spec.id} from ${job.stage} to $next")
         if (next == Stage.CANCELLED) {
             watch.cancelledAt.putIfAbsent(job.spec.id, now())
@@ -130,6 +140,9 @@
     /** Asks once more for what is over, and for a job that nobody submitted. */
     suspend fun askAgain() {
         for (job in jobs.filter { it.stage == Stage.DONE || it.stage == Stage.CANCELLED }) {
+            // A retry may arrive at any later time.
+            val again = ask("POST", RUNS, Json.write(JobCodec.write(job.spec)), SUBMIT_MS)
+            if (again?.status == 200 || again?.status == 201) told(job, again) else if (again?.status == 400 || again?.status == 422) watch.note(now(), "forgotten: ${job.spec.id} is refused with ${again.status}")
             val r = ask("GET", "$RUNS/${job.spec.id}", timeoutMs = ANSWER_MS) ?: continue
             if (r.status == 200) told(job, r) else if (r.status == 404) watch.note(now(), "forgotten: ${job.spec.id}")
         }
@@ -149,5 +162,6 @@
         const val SUBMIT_MS = 5_000L
         const val ANSWER_MS = 2_000L
         const val GIVE_UP_MS = 60_000L
+        const val UNANSWERED_MS = 75_000L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Watch.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Watch.kt
@@ -10,6 +10,9 @@
     class Start(val at: Long, val task: Worker.Task, val worker: Worker, val beside: List<JobSpec>)
 
     val broken = ArrayList<String>()
+
+    /** Tasks that have completed on some machine, whoever knows of it. */
+    val completed = HashSet<String>()
     val cancelledAt = HashMap<String, Long>()
     var started = 0
         private set
--- a/src/main/kotlin/org/honeyjunction/standin/Worker.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Worker.kt
@@ -16,7 +16,7 @@
 class Box(val name: String, val address: String, val type: String, val size: Resources, val zone: String, val spot: Boolean, val cacheGb: Double, val fetchGbPerS: Double)
 
 /** A stand-in of a worker and its machine, as PROTOCOL describes them. No input or output. */
-class Worker(val box: Box, private val timing: Timing, now: Long, private val work: (String) -> Work?, private val saved: MutableMap<String, Double>) {
+class Worker(val box: Box, private val timing: Timing, now: Long, private val work: (String) -> Work?, private val saved: MutableMap<String, Double>, private val completed: MutableSet<String> = HashSet()) {
     class Timing(val leaseMs: Long, val gangWaitMs: Long, val gangPeerMs: Long)
 
     class Task(val work: Work, val number: Int, val attempt: Long, state: TaskState, now: Long) {
@@ -133,7 +133,10 @@
             val done = progress(t, now)
             this.saved[t.progressKey] = done - done % t.spec.checkpointS
         }
-        if (cause == Cause.DONE) results += t.id
+        if (cause == Cause.DONE) {
+            results += t.id
+            completed += t.id
+        }
         t.enter(TaskState.Ended(cause, saved), now)
     }
 
--- a/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
@@ -5,28 +5,30 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.honeyjunction.io.ANY_PORT
 import org.honeyjunction.io.Connections
 import org.honeyjunction.io.HttpClient
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.io.Loop
-import org.honeyjunction.io.quietly
 import org.honeyjunction.wire.MalformedException
 import org.honeyjunction.wire.OtherSide
 import org.honeyjunction.wire.Request
 import org.honeyjunction.wire.Response
 import java.io.IOException
-import java.net.InetSocketAddress
-import java.nio.channels.AsynchronousServerSocketChannel
 import java.util.Random
 
 /** A worker over HTTP: reports to one node at a time, takes commands; cuts and hangs hold its messages back. */
 class WorkerHost(private val loop: Loop, private val nodes: List<Pair<String, String>>, private val reportMs: Long, private val random: Random, private val now: () -> Long) {
     lateinit var worker: Worker
+
+    /** Until then copies of reports arrive late, up to [repeatWithinMs] after the first. */
+    var repeatUntil = 0L
+    var repeatWithinMs = 1
     private val scope = CoroutineScope(loop.scope.coroutineContext + Job(loop.scope.coroutineContext[Job]))
     private val connections = Connections(loop, most = 2)
     private var node = random.nextInt(nodes.size)
-    private val server: AsynchronousServerSocketChannel = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(InetSocketAddress("127.0.0.1", 0))
-    val address: String get() = "127.0.0.1:${(server.localAddress as InetSocketAddress).port}"
+    private val server = HttpServer(loop, MAX_CONNECTIONS, mayClose = { false }, handle = ::answer).listen(ANY_PORT)
+    val address: String get() = server.address
 
     fun start() {
         scope.launch { reportAll() }
@@ -35,7 +37,7 @@
     fun stop() {
         scope.cancel()
         connections.closeAll()
-        quietly { server.close() }
+        server.close()
     }
 
     private fun held() = worker.silent(now()) || now() < worker.cutUntil
@@ -43,6 +45,10 @@
     /** Commands that are held back are executed when the cut or the hang is over, whoever waits for the answer. */
     private suspend fun answer(r: Request): Response {
         while (held()) delay(STEP_MS)
+        if (now() < worker.deafUntil) {
+            delay(ANSWER_MS)
+            return Response(503, close = true)
+        }
         worker.advance(now())
         if (r.path == "/status") return Response(200, OtherSide.report(worker.report()))
         if (r.path != "/commands" || r.method != "POST") return Response(404)
@@ -92,11 +98,16 @@
             delay(ANSWER_MS)
             return false
         }
+        if (now() < repeatUntil && random.nextDouble() < Fault.SHARE) repeat(body)
         val answer = try {
             HttpClient(connections, nodes[node].second).send("POST", HELLO, body, ANSWER_MS)
         } catch (_: IOException) {
             return false
         }
+        if (now() < worker.deafUntil) {
+            delay((sentAt + ANSWER_MS - now()).coerceAtLeast(0))
+            return false
+        }
         return when (answer.status) {
             200 -> {
                 if (worker.silent(now())) return true
@@ -115,6 +126,19 @@
         }
     }
 
+    /** The same once more, much later; nobody waits for its answer. */
+    private fun repeat(body: ByteArray) {
+        val afterMs = 2_000L + random.nextInt(repeatWithinMs)
+        scope.launch {
+            delay(afterMs)
+            try {
+                HttpClient(connections, nodes[node].second).send("POST", HELLO, body, ANSWER_MS)
+            } catch (_: IOException) {
+                // It was only a copy.
+            }
+        }
+    }
+
     private companion object {
         const val HELLO = "/hello"
         const val MAX_CONNECTIONS = 16
--- a/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/ArchitectureTest.kt
@@ -32,7 +32,7 @@
         "nomad.registry,'nomad core.model core.rules wire',         java.util java.lang java.math kotlin okio com.fasterxml.jackson",
         "nomad,         'nomad core.model core.rules wire',         java.util java.lang java.math java.time kotlin okio com.fasterxml.jackson com.networknt com.google.re2j com.cronutils org.antlr",
         "standin,       'standin core wire io',                     java kotlin kotlinx.coroutines com.fasterxml.jackson",
-        "emulator,      'emulator core standin',                    java kotlin",
+        "emulator,      'emulator core standin io',                 java kotlin kotlinx.coroutines",
         "app,           'app core wire io rules nomad standin emulator timeline', java kotlin kotlinx.coroutines okio com.fasterxml.jackson com.networknt org.slf4j picocli",
     )
     fun `imports`(part: String, own: String, others: String) {
--- a/src/test/kotlin/org/honeyjunction/app/RulesKeeperTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/RulesKeeperTest.kt
@@ -36,10 +36,10 @@
 
     /** Values of 1 KiB, so that a document has many parts. */
     private fun keeper(name: Int): RulesKeeper {
-        val port = StateServer(served, store, NoLateness, { clock.steady() }).listen()
+        val address = StateServer(served, store, NoLateness, { clock.steady() }).listen()
         val params = Json.readObject(javaClass.classLoader.getResource("local/settings.json")!!.readBytes())
         (params.get("state") as com.fasterxml.jackson.databind.node.ObjectNode).put("value_kb", 1.0).put("txn_ops", 8)
-        val settings = LocalSettings(params, null, 1).forNode(name, listOf("127.0.0.1:1", "127.0.0.1:2"), listOf("127.0.0.1:3", "127.0.0.1:4"), port, 5)
+        val settings = LocalSettings(params, null, 1).forNode(name, listOf("127.0.0.1:1", "127.0.0.1:2"), listOf("127.0.0.1:3", "127.0.0.1:4"), address, "127.0.0.1:5")
         val loop = Loop().also(loops::add)
         // A node that is never started: only its way to the state service is used.
         return checkNotNull(Node(settings, Tuning(rules = true), loop).rules)
--- a/src/test/kotlin/org/honeyjunction/io/StateClientTest.kt
+++ b/src/test/kotlin/org/honeyjunction/io/StateClientTest.kt
@@ -19,8 +19,8 @@
     fun `writes that wait are not joined where they go by different versions of a key`(firstHolds: Boolean, secondHolds: Boolean) {
         Loop().use { loop ->
             val store = Store(Store.Limits(1_000.0, 1_000.0, 8, 4_096), 0)
-            val port = StateServer(loop, store, Random(1)) { Clock.steady() }.listen()
-            val client = StateClient(loop, "127.0.0.1:$port", StateLimits(1_000.0, 1_000.0, 8, 1, 4_096), Clock)
+            val address = StateServer(loop, store, Random(1)) { Clock.steady() }.listen()
+            val client = StateClient(loop, address, StateLimits(1_000.0, 1_000.0, 8, 1, 4_096), Clock)
             val outcomes = runBlocking {
                 loop.scope.async {
                     val there = (client.commit(emptyList(), listOf(Write("head", IntNode(1)))) as WriteOutcome.Applied).revision
