--- a/src/main/kotlin/org/honeyjunction/app/Admission.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Admission.kt
@@ -29,25 +29,25 @@
         maker = null
     }
 
-    /** What this node tells the holder. */
+    /** What this node tells the leader. */
     val asked: List<Asked> get() = gate.meter.asked(node.clock.steady())
     val epoch: Epoch get() = gate.epoch
 
-    /** A question to the holder leaves now; to be given back with its answer. */
+    /** A question to the leader leaves now; to be given back with its answer. */
     fun asks(): Long = gate.asks(node.clock.steady())
 
     val grantedPerS: Double get() = gate.grantedPerS(node.clock.steady())
 
-    /** At the holder: the plan of the node that asks. */
+    /** At the leader: the plan of the node that asks. */
     fun planFor(peer: String, asked: List<Asked>, has: Epoch, grantedPerS: Double): Plan? {
         val maker = maker ?: return null
-        val holder = node.certainHolder?.holder ?: return null
+        val leader = node.certainLeader?.leader ?: return null
         val now = node.clock.steady()
         maker.heard(peer, asked, has, grantedPerS, now)
-        return maker.plan(peer, capacityPerS(), holder.crowdedTeams(weights), now)
+        return maker.plan(peer, capacityPerS(), leader.crowdedTeams(weights), now)
     }
 
-    /** At the holder: its own plan, by the same rules as everybody's. */
+    /** At the leader: its own plan, by the same rules as everybody's. */
     fun planOwn() {
         val now = asks()
         planFor(node.settings.node, asked, epoch, grantedPerS)?.let { planned(it, now) }
@@ -66,14 +66,14 @@
         return maxOf(all * LEAST_PART, all - node.state.otherPerS)
     }
 
-    /** At the holder: users bring more jobs than can be recorded. */
+    /** At the leader: users bring more jobs than can be recorded. */
     val overAsked: Boolean get() = maker?.overAsked(capacityPerS(), node.clock.steady()) == true
 
     /** Null: not for this door, since such a team does not exist. */
     fun ask(head: JobHead): Gate.Verdict? {
         if (cluster.teams.none { it.name == head.team } || head.jobClass.length > MOST_NAME) return null
         val state = node.state
-        val own = if (node.isHolder) maxOf(state.sharePerS * LEAST_PART, state.sharePerS - state.otherPerS) else state.sharePerS
+        val own = if (node.isLeader) maxOf(state.sharePerS * LEAST_PART, state.sharePerS - state.otherPerS) else state.sharePerS
         return gate.ask(
             Flow(head.team, head.jobClass), head.priority == URGENT, state.waitS(WriteRank.UNCREDITED), state.waitS(WriteRank.CREDITED), own, head.id.hashCode(), node.clock.steady(),
         )
--- a/src/main/kotlin/org/honeyjunction/app/Election.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Election.kt
@@ -18,7 +18,7 @@
 class Election(private val node: String, private val state: StateClient, private val clock: Clock, private val leaseMs: Long) {
     private val log = LoggerFactory.getLogger(Election::class.java)
 
-    var holder: String? = null
+    var leader: String? = null
         private set
     var term = 0L
         private set
@@ -36,16 +36,16 @@
         contactAt = clock.steady()
         val value = lead.value
         if (value != null) {
-            holder = value.text("holder")
+            leader = value.text(Keys.LEADER)
             term = maxOf(term, value.count("term"))
             // A namesake that holds the term is this node before its restart: nobody acts for it any more.
-            if (holder == node) {
+            if (leader == node) {
                 lead.lease?.let { state.endLease(it) }
-                holder = null
+                leader = null
             }
             return null
         }
-        holder = null
+        leader = null
         return if (mayTake) take() else null
     }
 
@@ -57,7 +57,7 @@
         val version = state.commitNow(
             listOf(Condition(Keys.LEAD, 0), Condition(Keys.TERM, last.version)),
             listOf(
-                Write(Keys.LEAD, Json.obj().put("holder", node).put("term", next), lease),
+                Write(Keys.LEAD, Json.obj().put(Keys.LEADER, node).put("term", next), lease),
                 Write(Keys.TERM, Json.obj().put("term", next)),
             ),
         )
@@ -65,7 +65,7 @@
             state.endLease(lease)
             return null
         }
-        holder = node
+        leader = node
         term = next
         log.info("term-begins: {}", next)
         return Term(next, version, lease, validUntil(sentAt))
@@ -91,7 +91,7 @@
     }
 
     suspend fun resign(term: Term) {
-        holder = null
+        leader = null
         try {
             state.endLease(term.lease)
         } catch (e: IOException) {
@@ -103,9 +103,9 @@
         term = maxOf(term, seen)
     }
 
-    /** [leader] made known that it won [seen], or another controller that knows of it did. */
-    fun told(leader: String, seen: Long) {
-        if (seen > term) holder = leader.ifEmpty { null }
+    /** [by] made known that it won [seen], or another controller that knows of it did. */
+    fun told(by: String, seen: Long) {
+        if (seen > term) leader = by.ifEmpty { null }
         sawTerm(seen)
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/Keys.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Keys.kt
@@ -2,9 +2,12 @@
 
 /** The keys of the state service. */
 object Keys {
-    /** Who holds the term, under the holder's lease; its version fences every write of a holder. */
+    /** Who holds the term, under the leader's lease; its version fences every write of a leader. */
     const val LEAD = "lead"
 
+    /** The field of [LEAD] that names the leader; earlier versions read it too. */
+    const val LEADER = "holder"
+
     /** The highest term there has been. */
     const val TERM = "term"
 
@@ -15,7 +18,7 @@
     const val PAGES = "l/"
     const val HINTS = "h/"
 
-    /** What a later holder need not find out again: jobs that fail wherever they are tried, and boot times. */
+    /** What a later leader need not find out again: jobs that fail wherever they are tried, and boot times. */
     const val MARKS = "learned"
 
     /** Which rules are in force; its parts are named by the hash of all of them together. */
--- a/src/main/kotlin/org/honeyjunction/app/HolderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/LeaderDriver.kt
@@ -13,7 +13,7 @@
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
-import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
@@ -32,10 +32,10 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 
-/** Carries out a holder's effects and brings it the answers. */
-class HolderDriver(
+/** Carries out a leader's effects and brings it the answers. */
+class LeaderDriver(
     val term: Term,
-    val holder: Holder,
+    val leader: Leader,
     private val loop: Loop,
     private val clock: Clock,
     private val state: StateClient,
@@ -48,24 +48,24 @@
     private val finals: FinalRecords? = null,
     private val overAsked: () -> Boolean = { false },
 ) {
-    private val log = LoggerFactory.getLogger(HolderDriver::class.java)
+    private val log = LoggerFactory.getLogger(LeaderDriver::class.java)
     private val scope = CoroutineScope(loop.scope.coroutineContext + SupervisorJob())
-    private val workers = Connections(loop, holder.state.cluster.maxSends, perAddress = 1)
+    private val workers = Connections(loop, leader.state.cluster.maxSends, perAddress = 1)
     private val cancelWaiters = HashMap<String, MutableList<CompletableDeferred<JobStage>>>()
 
-    /** Sure of being the only holder: answers from memory can't be older than anyone else's. */
-    val certain: Boolean get() = scope.isActive && holder.mayAct(clock.steady(), withinLease = true)
+    /** Sure of being the only leader: answers from memory can't be older than anyone else's. */
+    val certain: Boolean get() = scope.isActive && leader.mayAct(clock.steady(), withinLease = true)
 
     fun start(jobsFrom: Long) {
-        holder.leaseUntil(term.validUntil, clock.steady())
-        guard("the holder's clockwork") { tickAll() }
+        leader.leaseUntil(term.validUntil, clock.steady())
+        guard("the leader's clockwork") { tickAll() }
         guard("following jobs") { followJobs(jobsFrom) }
         guard("listing machines") { listAll() }
         guard("the census") { tellCensus() }
         if (finals != null) guard("moving final records") { moveFinals(finals) }
     }
 
-    /** More of the holder's work, which ends with the term. */
+    /** More of the leader's work, which ends with the term. */
     fun alongside(what: String, work: suspend () -> Unit) {
         guard(what, work)
     }
@@ -85,12 +85,12 @@
     private suspend fun tellCensus() {
         while (log.isInfoEnabled) {
             delay(CENSUS_MS)
-            log.info("holder-census: term {}: {}; {}; {}", term.number, holder.census(), state.census(), "${finals?.size ?: 0} final records in place; ${sockets()}")
+            log.info("leader-census: term {}: {}; {}; {}", term.number, leader.census(), state.census(), "${finals?.size ?: 0} final records in place; ${sockets()}")
         }
     }
 
     fun renewed(until: Long) {
-        holder.leaseUntil(until, clock.steady())
+        leader.leaseUntil(until, clock.steady())
         settle()
     }
 
@@ -102,7 +102,7 @@
 
     /** Does what the core asked for since the last call. */
     fun settle() {
-        for (effect in holder.drain()) {
+        for (effect in leader.drain()) {
             when (effect) {
                 is Effect.Commit -> guard("a write") { commit(effect) }
                 is Effect.Send -> guard("commands to ${effect.machine}") { send(effect) }
@@ -117,9 +117,9 @@
         }
     }
 
-    /** The job's final stage once it is durable; null for a job that this holder has not seen. */
+    /** The job's final stage once it is durable; null for a job that this leader has not seen. */
     fun cancel(id: String): CompletableDeferred<JobStage>? {
-        val stage = holder.cancel(id, clock.steady()) ?: return null
+        val stage = leader.cancel(id, clock.steady()) ?: return null
         val waiter = CompletableDeferred<JobStage>()
         if (stage == JobStage.ACTIVE) cancelWaiters.getOrPut(id, ::ArrayList).add(waiter) else waiter.complete(stage)
         settle()
@@ -128,7 +128,7 @@
 
     private suspend fun tickAll() {
         while (true) {
-            holder.tick(clock.steady())
+            leader.tick(clock.steady())
             settle()
             delay(TICK_MS)
         }
@@ -159,7 +159,7 @@
     private fun seen(value: JsonNode, version: Long) {
         try {
             val job = JobCodec.stored(value, version)
-            if (job.stage == JobStage.ACTIVE) holder.jobSeen(job, clock.steady(), clock.wall())
+            if (job.stage == JobStage.ACTIVE) leader.jobSeen(job, clock.steady(), clock.wall())
         } catch (e: MalformedException) {
             log.error("a job's record can't be read: {}", e.message)
         }
@@ -173,7 +173,7 @@
                     val page = cloud.list(machines.lastOrNull()?.name)
                     machines += page.machines
                 } while (page.more && page.machines.isNotEmpty())
-                holder.listed(machines, clock.steady())
+                leader.listed(machines, clock.steady())
                 settle()
             } catch (e: IOException) {
                 log.debug("listing machines: {}", e.message)
@@ -192,7 +192,7 @@
         }
         if (inPlace && outcome is CommitOutcome.Applied) finals!!.placed((e.changes.single() as Change.JobOver).job)
         if (outcome is CommitOutcome.Failed) delay(RETRY_MS)
-        holder.committed(e.id, outcome, clock.steady())
+        leader.committed(e.id, outcome, clock.steady())
         settle()
     }
 
@@ -200,7 +200,7 @@
     private suspend fun write(conditions: List<Condition>, changes: List<Change>, inPlace: Boolean): WriteOutcome =
         state.commit(conditions, changes.flatMap { writes(it, inPlace) }, if (changes.any { it is Change.Page }) WriteRank.PAGE else WriteRank.OTHER, lane(changes))
 
-    private fun lane(changes: List<Change>) = changes.firstNotNullOfOrNull { (it as? Change.JobOver)?.let { over -> holder.state.job(over.job)?.spec?.team } }.orEmpty()
+    private fun lane(changes: List<Change>) = changes.firstNotNullOfOrNull { (it as? Change.JobOver)?.let { over -> leader.state.job(over.job)?.spec?.team } }.orEmpty()
 
     private fun condition(change: Change): Condition? = when (change) {
         is Change.Page -> Condition(Keys.page(change.record.page), change.record.version)
@@ -213,7 +213,7 @@
         is Change.Hints -> listOf(Write(Keys.hints(change.page), StateCodec.hints(change.machines)))
         is Change.Learned -> listOf(Write(Keys.MARKS, StateCodec.marks(change.marks)))
         is Change.JobOver -> {
-            val job = checkNotNull(holder.state.job(change.job))
+            val job = checkNotNull(leader.state.job(change.job))
             val stage = if (change.cancelled) JobStage.CANCELLED else JobStage.DONE
             val created = clock.wall() - (clock.steady() - job.createdAt)
             val record = JobCodec.record(job.spec, job.owner, created.coerceAtLeast(0), stage)
@@ -290,38 +290,38 @@
         try {
             val r = client.send("POST", "/commands", WorkerCodec.commands(e.token, e.session, e.commands), SEND_MS, still(withinLease = !e.harmless))
             when (r.status) {
-                200 -> holder.commandExecuted(e.id, WorkerCodec.report(r.body), clock.steady())
-                409 -> holder.commandRejected(e.id, WorkerCodec.report(r.body), clock.steady())
-                else -> holder.commandUnanswered(e.id, clock.steady())
+                200 -> leader.commandExecuted(e.id, WorkerCodec.report(r.body), clock.steady())
+                409 -> leader.commandRejected(e.id, WorkerCodec.report(r.body), clock.steady())
+                else -> leader.commandUnanswered(e.id, clock.steady())
             }
         } catch (x: IOException) {
             log.debug("commands to {}: {}", e.machine, x.message)
-            holder.commandUnanswered(e.id, clock.steady())
+            leader.commandUnanswered(e.id, clock.steady())
         } catch (x: MalformedException) {
             log.warn("{} answered what can't be read: {}", e.machine, x.message)
-            holder.commandUnanswered(e.id, clock.steady())
+            leader.commandUnanswered(e.id, clock.steady())
         }
         settle()
     }
 
     /** Asked again at the last moment: between a decision and its sending this process may have stood still. */
-    private fun still(withinLease: Boolean): () -> Boolean = { scope.isActive && holder.mayAct(clock.steady(), withinLease) }
+    private fun still(withinLease: Boolean): () -> Boolean = { scope.isActive && leader.mayAct(clock.steady(), withinLease) }
 
     private suspend fun rent(e: Effect.Rent) {
         try {
             when (val result = cloud.rent(e, still(withinLease = true))) {
                 is CloudClient.Rented -> {
                     log.info("machines-rented: {} of {} {} in {} (spot: {})", result.machines.size, e.count, e.type, e.zone, e.offer.spot)
-                    holder.rented(e.request, result.machines, clock.steady())
+                    leader.rented(e.request, result.machines, clock.steady())
                 }
                 CloudClient.NoCapacity -> {
                     log.info("rental-refused: no {} in {} (spot: {}): {} asked", e.type, e.zone, e.offer.spot, e.count)
-                    holder.rentalRefused(e.request, clock.steady())
+                    leader.rentalRefused(e.request, clock.steady())
                 }
             }
         } catch (x: IOException) {
             log.debug("renting: {}", x.message)
-            holder.rentalUnknown(e.request, clock.steady())
+            leader.rentalUnknown(e.request, clock.steady())
         }
         settle()
     }
@@ -335,7 +335,7 @@
             false
         }
         if (confirmed) log.info("machines-released: {}", e.machines)
-        holder.released(e.machines, confirmed, clock.steady())
+        leader.released(e.machines, confirmed, clock.steady())
         settle()
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/Node.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Node.kt
@@ -4,11 +4,11 @@
 import kotlinx.coroutines.launch
 import org.honeyjunction.app.nomad.NativeStatus
 import org.honeyjunction.app.nomad.NomadApi
-import org.honeyjunction.app.nomad.NomadHolder
+import org.honeyjunction.app.nomad.NomadLeader
 import org.honeyjunction.app.nomad.NomadRegistry
 import org.honeyjunction.core.admission.FinalRecords
 import org.honeyjunction.core.admission.Plan
-import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.Recovered
@@ -16,7 +16,7 @@
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.Tuning
 import org.honeyjunction.core.control.WriteShares
-import org.honeyjunction.core.evidence.HolderWatch
+import org.honeyjunction.core.evidence.LeaderWatch
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.placement.Round
 import org.honeyjunction.core.placement.Summary
@@ -55,7 +55,7 @@
     private val election = Election(settings.node, state, clock, tuning.leaseMs)
     private val peers = settings.peers.associate { it.name to PeerClient(loop, it.address) }
     private val vouching = Vouching(settings.node, peers, clock, ::learnTerm)
-    private val holderWatch = HolderWatch(clock.steady())
+    private val leaderWatch = LeaderWatch(clock.steady())
     val admission = Admission(this)
     val users = UserApi(this)
     val rules = if (tuning.rules) RulesKeeper(this, ::useRules) else null
@@ -67,7 +67,7 @@
         HttpServer(loop, (settings.maxSockets * NOMAD_SHARE).toInt(), mayClose = { false }, handle = api::handle)
     }
     private val round = Round(tuning.cost)
-    private var driver: HolderDriver? = null
+    private var driver: LeaderDriver? = null
     private var freeSince = Long.MIN_VALUE
 
     /** Terms of this node that ended by a failure of its own, one after the other; it stands back longer after each. */
@@ -85,35 +85,35 @@
 
     private val server = HttpServer(loop, (settings.maxSockets * SOCKET_SHARE).toInt(), mayClose = { it.path == HELLO }, MOST_REPORT_BYTES, ::answer)
 
-    val isHolder: Boolean get() = driver != null
+    val isLeader: Boolean get() = driver != null
 
     /** The latest term that this node knows of. */
     val knownTerm: Long get() = election.term
 
     /** Who holds the term, as far as this node knows. */
-    val holderName: String? get() = if (isHolder) settings.node else election.holder
+    val leaderName: String? get() = if (isLeader) settings.node else election.leader
 
-    /** What waits beside free machines for longer than it should, as the holder of the term counts it. */
-    val stalled: List<Stalled> get() = driver?.takeIf { it.certain }?.holder?.stalled(clock.steady()).orEmpty()
+    /** What waits beside free machines for longer than it should, as the leader counts it. */
+    val stalled: List<Stalled> get() = driver?.takeIf { it.certain }?.leader?.stalled(clock.steady()).orEmpty()
 
-    /** Classes and teams of which less than half were served beside free machines, as the holder of the term counts them. */
-    val starved: Map<Group, Tally> get() = driver?.takeIf { it.certain }?.holder?.starved(clock.steady()).orEmpty()
+    /** Classes and teams of which less than half were served beside free machines, as the leader counts them. */
+    val starved: Map<Group, Tally> get() = driver?.takeIf { it.certain }?.leader?.starved(clock.steady()).orEmpty()
 
     /** How long the state service has not answered this node, in milliseconds; 0 while it does. */
     val outageMs: Long get() = if (stateSilent) clock.steady() - election.contactAt else 0
     val scope get() = loop.scope
 
     /** Somebody else holds the term, as far as this node knows, and has answered it lately. */
-    val holderWorthAsking: Boolean get() = !isHolder && holderWatch.worthNaming(clock.steady()).let { it != null && it != settings.node }
+    val leaderWorthAsking: Boolean get() = !isLeader && leaderWatch.worthNaming(clock.steady()).let { it != null && it != settings.node }
 
-    val certainHolder: HolderDriver? get() = driver?.takeIf { it.certain }
+    val certainLeader: LeaderDriver? get() = driver?.takeIf { it.certain }
 
     /** Too many writes or tasks wait already: another job would not be answered in time, or not fit into memory. */
-    val overloaded: Boolean get() = state.congested || driver?.holder?.crowded ?: false
+    val overloaded: Boolean get() = state.congested || driver?.leader?.crowded ?: false
 
     private val stateSilent: Boolean get() = clock.steady() - election.contactAt > SILENT_MS
 
-    /** The state service answers the holder, but not this node. */
+    /** The state service answers the leader, but not this node. */
     val stateRefused: Boolean get() = stateSilent && clock.steady() - toldCertainAt < SILENT_MS
 
     fun start() {
@@ -146,7 +146,7 @@
     }
 
     private fun useRules(kept: KeptRules) {
-        driver?.holder?.useRules(kept.set)
+        driver?.leader?.useRules(kept.set)
     }
 
     /** Able to take requests: knows the machine types, and is not the only one whom the state service refuses. */
@@ -170,10 +170,10 @@
         reports.note(clock.steady())
         deaf = false
         val current = driver
-        val answer = current?.holder?.hello(report, clock.steady())
+        val answer = current?.leader?.hello(report, clock.steady())
         current?.settle()
         if (answer != null) return Response(200, WorkerCodec.answer(answer.token, answer.commands))
-        return Response(421, WorkerCodec.redirect(holderWatch.worthNaming(clock.steady()).takeIf { it != settings.node }))
+        return Response(421, WorkerCodec.redirect(leaderWatch.worthNaming(clock.steady()).takeIf { it != settings.node }))
     }
 
     private suspend fun keepTypes() {
@@ -185,10 +185,10 @@
         while (true) {
             // One node asks for all; the others read what it stored, unless there is nothing yet.
             try {
-                if (isHolder || settings.cluster.types.isEmpty()) {
+                if (isLeader || settings.cluster.types.isEmpty()) {
                     val body = cloud.types()
                     useTypes(body)
-                    if (isHolder && !body.contentEquals(typesBody)) {
+                    if (isLeader && !body.contentEquals(typesBody)) {
                         state.commit(emptyList(), listOf(Write(Keys.TYPES, Json.read(body))))
                         typesBody = body
                     }
@@ -213,8 +213,8 @@
             try {
                 val term = election.look(mayTake())
                 if (term != null) hold(term)
-                holderWatch.named(election.holder, clock.steady())
-                if (election.holder != null) freeSince = Long.MIN_VALUE
+                leaderWatch.named(election.leader, clock.steady())
+                if (election.leader != null) freeSince = Long.MIN_VALUE
             } catch (e: IOException) {
                 log.debug("election: {}", e.message)
             } catch (e: MalformedException) {
@@ -250,19 +250,19 @@
             election.resign(term)
             return
         }
-        val holder = Holder(
+        val leader = Leader(
             settings.cluster, tuning, term.number, settings.node, recovered, clock.steady(), clock.wall(), settings.listLagMs,
             rules?.current?.set ?: RuleSet.NONE, peers.keys,
         )
-        val current = HolderDriver(term, holder, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals, admission::overAsked)
+        val current = LeaderDriver(term, leader, loop, clock, state, cloud, ::stepDown, ::giveUp, { "${server.census}; ${users.census()}; ${admission.census()}" }, finals, admission::overAsked)
         driver = current
         admission.termBegins(term.number)
         shares = WriteShares(settings.stateLimits.writesPerS, settings.stateLimits.nodes)
         state.share(shares.own(state.newJobsWaiting, state.otherPerS, clock.steady()))
         heldSince = clock.steady()
         if (registry != null) {
-            holder.useJobRules(NomadHolder.rules(registry))
-            current.alongside("registered jobs") { NomadHolder(this, registry, current).run() }
+            leader.useJobRules(NomadLeader.rules(registry))
+            current.alongside("registered jobs") { NomadLeader(this, registry, current).run() }
         }
         current.alongside("vouching") { vouching.run(current) }
         current.start(jobsFrom)
@@ -274,14 +274,14 @@
         stepDown("the lease has ended")
     }
 
-    /** This node's share of the changes while no holder tells it. */
-    private fun fixedShare() = state.share(settings.stateLimits.writesPerS * WriteShares.fixed(isHolder, settings.stateLimits.nodes))
+    /** This node's share of the changes while no leader tells it. */
+    private fun fixedShare() = state.share(settings.stateLimits.writesPerS * WriteShares.fixed(isLeader, settings.stateLimits.nodes))
 
-    /** Held: shared out anew; else the last word of a holder lasts for a while. */
+    /** Held: shared out anew; else the last word of a leader lasts for a while. */
     private suspend fun shareWrites() {
         while (true) {
             val now = clock.steady()
-            if (isHolder) {
+            if (isLeader) {
                 state.share(shares.own(state.newJobsWaiting, state.otherPerS, now))
                 admission.planOwn()
             } else if (now - sharedAt > WriteShares.LASTS_MS) fixedShare()
@@ -293,7 +293,7 @@
     private fun learnTerm(term: Long, leader: String) {
         if (driver.let { it != null && term > it.term.number }) stepDown("term $term is known${if (leader.isEmpty()) "" else ", of $leader"}")
         election.told(leader, term)
-        holderWatch.named(election.holder, clock.steady())
+        leaderWatch.named(election.leader, clock.steady())
     }
 
     private fun stepDown(reason: String) {
@@ -354,7 +354,7 @@
     /** This controller's rounds while another node holds the term. */
     private suspend fun placeOwn() {
         while (true) {
-            val peer = election.holder.takeIf { !isHolder }?.let(peers::get)
+            val peer = election.leader.takeIf { !isLeader }?.let(peers::get)
             if (peer == null) {
                 delay(LOOK_MS)
                 continue
@@ -365,7 +365,7 @@
                 when (val told = peer.ask(ask, tuning.summaryMs + PEER_MS)) {
                     is PeerMessage.Told -> {
                         heardPeerAt = clock.steady()
-                        holderWatch.heard(clock.steady())
+                        leaderWatch.heard(clock.steady())
                         admission.planned(told.plan, asked)
                         if (told.certain) toldCertainAt = clock.steady()
                         state.share(told.writesPerS)
@@ -384,15 +384,15 @@
         }
     }
 
-    suspend fun askHolder(question: PeerMessage, timeoutMs: Long): PeerMessage? {
-        val peer = election.holder?.let(peers::get) ?: return null
+    suspend fun askLeader(question: PeerMessage, timeoutMs: Long): PeerMessage? {
+        val peer = election.leader?.let(peers::get) ?: return null
         return try {
             peer.ask(question, timeoutMs).also { heardPeerAt = clock.steady() }
         } catch (e: NoAnswerException) {
-            log.debug("holder: {}", e.message)
+            log.debug("leader: {}", e.message)
             null
         } catch (e: IOException) {
-            log.debug("holder: {}", e.message)
+            log.debug("leader: {}", e.message)
             null
         }
     }
@@ -410,48 +410,48 @@
                 val plan = admission.planFor(m.node, m.asked, m.plan, m.grantedPerS) ?: Plan.NONE
                 PeerMessage.Told(it.term.number, it.certain, plan, share, summary)
             }
-                ?: PeerMessage.NotHolder(election.term)
+                ?: PeerMessage.NotLeader(election.term)
         }
         is PeerMessage.Propose -> {
             val current = driver?.takeIf { it.term.number == m.term }
-            val accepted = current?.holder?.propose(m.proposals, clock.steady())
+            val accepted = current?.leader?.propose(m.proposals, clock.steady())
             current?.settle()
             PeerMessage.Accepted(accepted?.count { it } ?: 0)
         }
         is PeerMessage.Forward -> {
-            val r = if (isHolder) asked(Request(m.method, m.path, m.body), forwarded = true) else Response(503)
+            val r = if (isLeader) asked(Request(m.method, m.path, m.body), forwarded = true) else Response(503)
             PeerMessage.Answer(r.status, r.retryAfterS ?: 0, r.body)
         }
         is PeerMessage.Vouch -> {
             learnTerm(m.term, m.node)
-            vouching.answer(election.term, holderName)
+            vouching.answer(election.term, leaderName)
         }
         is PeerMessage.Polls -> {
-            val sure = certainHolder?.holder
-            if (sure == null) PeerMessage.NotHolder(election.term)
+            val sure = certainLeader?.leader
+            if (sure == null) PeerMessage.NotLeader(election.term)
             else PeerMessage.Stages(m.jobs.mapNotNull { id -> sure.certainStatus(id)?.let { id to it } }.toMap())
         }
-        is PeerMessage.Told, is PeerMessage.NotHolder, is PeerMessage.Accepted, is PeerMessage.Answer, is PeerMessage.Stages, is PeerMessage.Vouched ->
-            PeerMessage.NotHolder(election.term)
+        is PeerMessage.Told, is PeerMessage.NotLeader, is PeerMessage.Accepted, is PeerMessage.Answer, is PeerMessage.Stages, is PeerMessage.Vouched ->
+            PeerMessage.NotLeader(election.term)
     }
 
     /** Answers as soon as there is something to place, so that a new job need not wait for the next question. */
-    private suspend fun summaryFor(current: HolderDriver, peer: String): Summary {
+    private suspend fun summaryFor(current: LeaderDriver, peer: String): Summary {
         val until = clock.steady() + tuning.summaryMs
         while (true) {
-            val summary = current.holder.summaryFor(peer, clock.steady())
+            val summary = current.leader.summaryFor(peer, clock.steady())
             if (summary.rows.isNotEmpty() || clock.steady() >= until || driver !== current) return summary
             delay(SUMMARY_STEP_MS)
         }
     }
 
     /**
-     * A holder whom no worker reaches gives way: soon when a peer hears some, and after a while in any case, since
-     * they may all be with an earlier holder that is cut off from everyone else.
+     * A leader whom no worker reaches gives way: soon when a peer hears some, and after a while in any case, since
+     * they may all be with an earlier leader that is cut off from everyone else.
      */
-    private fun resignIfDeaf(current: HolderDriver, m: PeerMessage.Ask) {
+    private fun resignIfDeaf(current: LeaderDriver, m: PeerMessage.Ask) {
         val now = clock.steady()
-        if (reports.count(now) > 0 || !current.holder.expectsReports(now)) return
+        if (reports.count(now) > 0 || !current.leader.expectsReports(now)) return
         if (m.workersHeard == 0 && now - heldSince < DEAF_MS) return
         deaf = true
         stepDown("no worker reaches this node; ${m.node} hears ${m.workersHeard}")
--- a/src/main/kotlin/org/honeyjunction/app/Polls.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Polls.kt
@@ -5,11 +5,11 @@
 import org.honeyjunction.core.polls.Desk
 import org.honeyjunction.wire.PeerMessage
 
-/** Users' polls that somebody else must answer: the holder of the term, or the records. Times in milliseconds. */
+/** Users' polls that somebody else must answer: the leader, or the records. Times in milliseconds. */
 class Polls(private val node: Node, private val stored: suspend (String) -> StoredJob?) {
-    /** What the holder is sure of. */
-    val holder = JoinedQuestions<JobStatus>(node.scope, node.clock, Desk(HOLDER_GAP_MS, MOST_AT_ONCE, PATIENCE_MS)) { ids ->
-        (node.askHolder(PeerMessage.Polls(ids), ANSWER_MS) as? PeerMessage.Stages)?.jobs
+    /** What the leader is sure of. */
+    val leader = JoinedQuestions<JobStatus>(node.scope, node.clock, Desk(LEADER_GAP_MS, MOST_AT_ONCE, PATIENCE_MS)) { ids ->
+        (node.askLeader(PeerMessage.Polls(ids), ANSWER_MS) as? PeerMessage.Stages)?.jobs
     }
 
     /** Records are read one by one, and no faster than leaves requests for the term, its pages and submissions. */
@@ -17,11 +17,11 @@
         ids.associateWith { Looked(stored(it)) }
     }
 
-    fun census() = "polls: pressure %.2f at the holder, %.2f at the records, ${holder.refused() + records.refused()} refused".format(holder.pressure(), records.pressure())
+    fun census() = "polls: pressure %.2f at the leader, %.2f at the records, ${leader.refused() + records.refused()} refused".format(leader.pressure(), records.pressure())
 
     private companion object {
         /** A lone question leaves at once; in a storm this joins what comes within a twenty-fifth of a second. */
-        const val HOLDER_GAP_MS = 40L
+        const val LEADER_GAP_MS = 40L
         const val MOST_AT_ONCE = 400
 
         /** Users wait for two seconds. */
--- a/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Rehearsal.kt
@@ -8,7 +8,7 @@
 import org.honeyjunction.core.admission.Plan
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
-import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
 import org.honeyjunction.core.control.Recovered
@@ -54,15 +54,15 @@
             StoredJob(spec, settings.node, 0, 1, JobStage.ACTIVE)
         }
         val page = StateCodec.page(0, 1, Json.read(Json.write(StateCodec.page(PageRecord(0, 1, listOf(RecordedStart("j-0", 0, 7, "m")), emptyMap()), 1))))
-        val holder = Holder(cluster, Tuning(), 1, settings.node, Recovered(stored, listOf(page), emptyList()), 0, 0, 1_000).also { it.leaseUntil(Long.MAX_VALUE, 0) }
+        val leader = Leader(cluster, Tuning(), 1, settings.node, Recovered(stored, listOf(page), emptyList()), 0, 0, 1_000).also { it.leaseUntil(Long.MAX_VALUE, 0) }
         for (step in 1L..40) {
             val now = step * 250
-            for (m in listOf("m", "m2")) holder.hello(Report(m, "127.0.0.1:1", "k", "a", false, 1, step, holder.state.termToken, null, emptyList()), now)
-            holder.tick(now)
-            for (e in holder.drain()) if (e is Effect.Commit) holder.committed(e.id, CommitOutcome.Applied(step), now)
-            val told = PeerMessage.Told(1, true, Plan.NONE, 1.0, holder.summaryFor("p", now))
+            for (m in listOf("m", "m2")) leader.hello(Report(m, "127.0.0.1:1", "k", "a", false, 1, step, leader.state.termToken, null, emptyList()), now)
+            leader.tick(now)
+            for (e in leader.drain()) if (e is Effect.Commit) leader.committed(e.id, CommitOutcome.Applied(step), now)
+            val told = PeerMessage.Told(1, true, Plan.NONE, 1.0, leader.summaryFor("p", now))
             val heard = PeerCodec.decode(okio.Buffer().write(PeerCodec.encode(told))) as PeerMessage.Told
-            holder.propose(Round().place(heard.summary), now)
+            leader.propose(Round().place(heard.summary), now)
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/RulesApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/RulesApi.kt
@@ -21,7 +21,7 @@
         when {
             r.path == RULES && r.method == "GET" -> show()
             r.path == RULES && r.method == "POST" -> apply(r)
-            r.path == VERSION && r.method == "GET" -> Response(200, Json.write(Json.obj().put("version", node.certainHolder?.holder?.rulesVersion ?: -1)))
+            r.path == VERSION && r.method == "GET" -> Response(200, Json.write(Json.obj().put("version", node.certainLeader?.leader?.rulesVersion ?: -1)))
             r.path.endsWith(EXPLAIN) && r.method == "GET" -> explain(r, forwarded)
             else -> Response(405)
         }
@@ -38,9 +38,9 @@
         return Response(200, Json.write(o))
     }
 
-    /** The version by which the holder places; null where it can't be asked. */
+    /** The version by which the leader places; null where it can't be asked. */
     private suspend fun inForce(): Long? {
-        node.certainHolder?.let { return it.holder.rulesVersion }
+        node.certainLeader?.let { return it.leader.rulesVersion }
         val answer = node.users.forward(Request("GET", VERSION, Response.NO_BODY)) ?: return null
         return if (answer.status == 200) Json.readObject(answer.body).given("version")?.longValue()?.takeIf { it >= 0 } else null
     }
@@ -67,18 +67,18 @@
         val id = of.substringBefore('/')
         val number = if ('/' in of) of.substringAfter('/').toIntOrNull()?.takeIf { it >= 0 } ?: return Response(404, Json.error("no such task")) else null
         if (!JobCodec.isId(id)) return Response(404, Json.error("no such job"))
-        val driver = node.certainHolder
+        val driver = node.certainLeader
         if (driver == null) {
-            return if (forwarded) later(UserApi.NO_HOLDER) else node.users.forward(r) ?: later("the holder of the term does not answer")
+            return if (forwarded) later(UserApi.NO_LEADER) else node.users.forward(r) ?: later("the leader does not answer")
         }
         val now = node.clock.steady()
-        val job = driver.holder.state.job(id)
+        val job = driver.leader.state.job(id)
         if (job != null && number != null && number >= job.tasks.size) return Response(404, Json.error("job $id has ${job.tasks.size} tasks"))
         val most = if (number == null) MAX_TASKS else 1
-        val found = driver.holder.explain(id, number ?: 0, most, now).orEmpty()
+        val found = driver.leader.explain(id, number ?: 0, most, now).orEmpty()
         if (found.isNotEmpty()) return Response(200, ExplainCodec.write(id, found, now, number == null && (job?.tasks?.size ?: 0) > most))
         val known: Boolean = job != null || node.users.isKnown(id)
-        return if (known) Response(410, Json.error("the explanation of $of is gone: it is kept for ${node.tuning.explainMs / 1000} s, by the holder that placed the task"))
+        return if (known) Response(410, Json.error("the explanation of $of is gone: it is kept for ${node.tuning.explainMs / 1000} s, by the leader that placed the task"))
         else Response(404, Json.error("no such job"))
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/RulesCommand.kt
+++ b/src/main/kotlin/org/honeyjunction/app/RulesCommand.kt
@@ -63,11 +63,11 @@
         if (r.status != 200) return refused(r)
         val version = Json.readObject(r.body).count("version")
         println("version $version is durable")
-        println(if (inForce(client, version)) "version $version is in force" else "the holder of the term has not told yet that it goes by version $version")
+        println(if (inForce(client, version)) "version $version is in force" else "the leader has not told yet that it goes by version $version")
         Status.OK
     }
 
-    /** The holder learns of a change within moments. */
+    /** The leader learns of a change within moments. */
     private fun inForce(client: OperatorClient, version: Long): Boolean {
         repeat(WAITS) {
             val r = client.ask("GET", RulesApi.RULES)
@@ -98,7 +98,7 @@
         val o: ObjectNode = Json.readObject(r.body)
         if (topology) return Status.OK.also { println(o.given("topology")?.toPrettyString() ?: "{}") }
         val inForce = o.given("in_force")?.longValue()
-        println("# version ${o.count("version")}" + if (inForce == null) "; the holder of the term does not answer" else if (inForce != o.count("version")) "; the holder still goes by version $inForce" else "")
+        println("# version ${o.count("version")}" + if (inForce == null) "; the leader does not answer" else if (inForce != o.count("version")) "; the leader still goes by version $inForce" else "")
         print(o.given("rules")?.textValue().orEmpty())
         Status.OK
     }
--- a/src/main/kotlin/org/honeyjunction/app/RulesKeeper.kt
+++ b/src/main/kotlin/org/honeyjunction/app/RulesKeeper.kt
@@ -51,7 +51,7 @@
     var known = false
         private set
 
-    /** For judging submissions; placements go by the holder's own. */
+    /** For judging submissions; placements go by the leader's own. */
     var book = RuleBook(node.settings.cluster, RuleSet.NONE)
         private set
 
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -58,7 +58,7 @@
         // Whether it is let in is decided before the rest is read: a refusal must cost little.
         val head = JobCodec.head(r.body)
         head?.let { known(it.id) }?.let { return accepted(200, head.id, it) }
-        // Refused by the state service alone: the holder decides and takes the job.
+        // Refused by the state service alone: the leader decides and takes the job.
         val forward = !forwarded && node.stateRefused
         val verdict = if (head == null || forward) null else node.admission.ask(head)
         if (verdict is Gate.Verdict.Refused) return later(verdict.why, maxOf(verdict.retryAfterS, retryAfterS(node.outageMs, head!!.id)))
@@ -102,8 +102,8 @@
     /** Joined with other users' questions where it takes somebody else's answer; never with one that is on its way already. */
     private suspend fun poll(id: String): Response {
         known(id)?.let { return found(id, it) }
-        if (node.holderWorthAsking) {
-            when (val told = polls.holder.of(id)) {
+        if (node.leaderWorthAsking) {
+            when (val told = polls.leader.of(id)) {
                 is Joined.Answered -> return found(id, told.answer)
                 Joined.Shed -> return later(TOO_MANY_POLLS)
                 // It is not sure, or does not answer: the record is.
@@ -124,33 +124,33 @@
 
     private suspend fun cancel(id: String, forwarded: Boolean): Response {
         finals[id]?.let { return Response(200, JobCodec.answer(id, it, counts = false)) }
-        val driver = node.certainHolder
-        if (driver == null) return if (forwarded) later(NO_HOLDER) else forward(Request("POST", "$RUNS/$id$CANCEL", Response.NO_BODY)) ?: later(NO_HOLDER)
+        val driver = node.certainLeader
+        if (driver == null) return if (forwarded) later(NO_LEADER) else forward(Request("POST", "$RUNS/$id$CANCEL", Response.NO_BODY)) ?: later(NO_LEADER)
         var waiter = driver.cancel(id)
         if (waiter == null) {
             val job = stored(id) ?: return Response(404)
             if (job.stage != JobStage.ACTIVE) return Response(200, JobCodec.answer(id, status(job), counts = false))
-            driver.holder.jobSeen(job, node.clock.steady(), node.clock.wall())
-            waiter = driver.cancel(id) ?: return later(NO_HOLDER)
+            driver.leader.jobSeen(job, node.clock.steady(), node.clock.wall())
+            waiter = driver.cancel(id) ?: return later(NO_LEADER)
         }
         val stage = try {
             withTimeout(CANCEL_MS) { waiter.await() }
         } catch (_: TimeoutCancellationException) {
             return later("the cancellation is being written")
         }
-        val status = JobStatus(stage, driver.holder.status(id)?.done ?: 0, 0)
+        val status = JobStatus(stage, driver.leader.status(id)?.done ?: 0, 0)
         finals[id] = status
         return Response(200, JobCodec.answer(id, status, counts = false))
     }
 
-    /** The holder's answer to [r]; null where it gives none. */
+    /** The leader's answer to [r]; null where it gives none. */
     suspend fun forward(r: Request): Response? {
-        val answer = node.askHolder(PeerMessage.Forward(r.method, r.path, r.body), FORWARD_MS) as? PeerMessage.Answer ?: return null
+        val answer = node.askLeader(PeerMessage.Forward(r.method, r.path, r.body), FORWARD_MS) as? PeerMessage.Answer ?: return null
         return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
     }
 
     /** Known for certain without asking anyone: final, or held in the term's memory within its lease. */
-    private fun known(id: String): JobStatus? = finals[id] ?: node.certainHolder?.holder?.certainStatus(id)
+    private fun known(id: String): JobStatus? = finals[id] ?: node.certainLeader?.leader?.certainStatus(id)
 
     private suspend fun stored(id: String): StoredJob? {
         val active = node.state.get(Keys.job(id))
@@ -180,7 +180,7 @@
 
         const val RUNS = "/v2/runs"
         private const val TOO_MANY_POLLS = "too many questions are waiting"
-        const val NO_HOLDER = "no node is sure to hold the term"
+        const val NO_LEADER = "no node is sure to hold the term"
         private const val CANCEL = "/cancel"
         private const val MAX_FINALS = 20_000
         private const val RETRY_S = 1
--- a/src/main/kotlin/org/honeyjunction/app/Vouching.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Vouching.kt
@@ -20,21 +20,21 @@
     fun answer(term: Long, leader: String?) = PeerMessage.Vouched(term, leader.orEmpty(), clock.steady() - startedAt)
 
     /** For as long as [driver] leads. */
-    suspend fun run(driver: HolderDriver) = coroutineScope {
+    suspend fun run(driver: LeaderDriver) = coroutineScope {
         for ((name, peer) in peers) launch { ask(name, peer, driver) }
     }
 
-    private suspend fun ask(name: String, peer: PeerClient, driver: HolderDriver) {
+    private suspend fun ask(name: String, peer: PeerClient, driver: LeaderDriver) {
         var knows = false
         while (true) {
             val askedAt = clock.steady()
-            if (!knows || !driver.holder.leased(askedAt)) {
+            if (!knows || !driver.leader.leased(askedAt)) {
                 try {
                     val word = peer.ask(PeerMessage.Vouch(node, driver.term.number), ANSWER_MS)
                     if (word is PeerMessage.Vouched) {
                         knows = true
                         if (word.term > driver.term.number) learnt(word.term, word.leader)
-                        else driver.holder.vouched(name, askedAt, word.upMs, clock.steady())
+                        else driver.leader.vouched(name, askedAt, word.upMs, clock.steady())
                     }
                 } catch (e: IOException) {
                     log.debug("vouching: {}: {}", name, e.message)
--- a/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Controllers.kt
@@ -52,7 +52,7 @@
         withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.starved }.await() }.orEmpty()
     }.fold(emptyMap()) { all, some -> all + some }
 
-    /** What the holder's watch on work conservation says now; nothing of those that do not answer at once. */
+    /** What the leader's watch on work conservation says now; nothing of those that do not answer at once. */
     suspend fun stalled(): List<Stalled> = running.filterNotNull().flatMap { r ->
         withTimeoutOrNull(ASK_MS) { r.loop.scope.async { r.node.stalled }.await() }.orEmpty()
     }
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -91,7 +91,7 @@
                 loopback.repeatReports(f.forMs)
             }
             Fault.Whom.AllNodes -> strikeNodes(f, nodes.indices.toList())
-            Fault.Whom.Holder -> strikeNodes(f, listOfNotNull(loopback.holder()))
+            Fault.Whom.Leader -> strikeNodes(f, listOfNotNull(loopback.leader()))
             is Fault.Whom.Node -> strikeNodes(f, listOf(whom.number).filter { it in nodes.indices })
         }
     }
@@ -126,7 +126,7 @@
         val workers = loopback.workers
         val tasks = workers.flatMap { w -> w.tasks.values.filter { it.live } }.groupingBy { it.state.toString().lowercase() }.eachCount().toSortedMap()
         val jobs = users.jobs.groupingBy { it.stage }.eachCount().toSortedMap()
-        return "holder ${loopback.holder()?.let { "hive-$it" } ?: "none"} term ${loopback.term()}, machines ${workers.size} of ${loopback.cloud.machines.size}, " +
+        return "leader ${loopback.leader()?.let { "hive-$it" } ?: "none"} term ${loopback.term()}, machines ${workers.size} of ${loopback.cloud.machines.size}, " +
             "tasks ${tasks.entries.joinToString { (state, n) -> "$n $state" }.ifEmpty { "none" }}, jobs ${jobs.entries.joinToString { (s, n) -> "$n ${s.name.lowercase()}" }}"
     }
 
@@ -150,7 +150,7 @@
         for ((id, start) in loopback.watch.starts.toSortedMap()) {
             val r = client.ask("GET", "${UserApi.RUNS}/$id${RulesApi.EXPLAIN}")
             val task = if (r.status == 200) Json.readObject(r.body).list("tasks").firstOrNull() else null
-            // Placed by an earlier holder, which remembered why, or by an attempt that the stand-ins saw end.
+            // Placed by an earlier leader, which remembered why, or by an attempt that the stand-ins saw end.
             if (task?.given("decided_s_ago") == null || task.textOrNull("machine") != start.worker.name) {
                 gone++
                 continue
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCommand.kt
@@ -68,7 +68,7 @@
     @Option(names = ["--explain"], description = ["print at the end why the tasks of each job were placed where they were"])
     var explain = false
 
-    @Option(names = ["--fault"], paramLabel = "FAULT", description = ["a trouble, like 'at 8s kill holder'; may be repeated: " + Fault.FORM])
+    @Option(names = ["--fault"], paramLabel = "FAULT", description = ["a trouble, like 'at 8s kill leader'; may be repeated: " + Fault.FORM])
     var faults: List<String> = emptyList()
 
     @Option(names = ["--serve"], description = ["stay up after the jobs are over, until interrupted; addresses are printed"])
--- a/src/main/kotlin/org/honeyjunction/app/local/Outcome.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Outcome.kt
@@ -25,7 +25,7 @@
         broken.forEach { println("BROKEN  $it") }
         compared.differences.forEach { println("DIFFERS  $it") }
         if (compared.told + compared.gone > 0) {
-            println("${compared.told} placements explained, ${compared.differences.size} not as the stand-ins saw them; ${compared.gone} explanations are gone with the holder or the attempt")
+            println("${compared.told} placements explained, ${compared.differences.size} not as the stand-ins saw them; ${compared.gone} explanations are gone with the leader or the attempt")
         }
         val left = jobs.filter { !it.over }
         println(
--- a/src/main/kotlin/org/honeyjunction/app/local/Search.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -50,7 +50,7 @@
 
     /** What the leader knows of a job that it should have served. */
     private fun known(cluster: LocalCluster, id: String): String {
-        val state = cluster.controllers.nodes.firstNotNullOfOrNull { it.certainHolder }?.holder?.state ?: return ", no leader"
+        val state = cluster.controllers.nodes.firstNotNullOfOrNull { it.certainLeader }?.leader?.state ?: return ", no leader"
         val job = state.job(id) ?: return ", not known to the leader"
         val rooms = state.machines.filter { it.usable }.joinToString { "${it.name} in ${it.zone} ${state.room(it).gpus} free, takes more: ${it.takesMore}, held for ${it.heldForAt(state.now)}" }
         return ": ${job.spec.kind} of ${job.spec.tasks}, needs ${job.spec.need}, waiting ${job.waiting.cardinality()}, placed ${job.placements.size}, startable ${job.startable}, not before ${job.notBefore - state.now} ms; $rooms"
@@ -73,8 +73,8 @@
     private class Kind(val name: String, val mostS: Int, val text: (Random) -> String)
 
     private val kinds = listOf(
-        Kind("kill leader", 9) { "kill holder" }, Kind("kill all", 4) { "kill all" }, Kind("kill a controller", 9) { "kill node ${it.nextInt(controllers)}" },
-        Kind("hang leader", 14) { "hang holder" }, Kind("refuse leader", 40) { "refuse holder" }, Kind("isolate leader", 60) { "isolate holder" },
+        Kind("kill leader", 9) { "kill leader" }, Kind("kill all", 4) { "kill all" }, Kind("kill a controller", 9) { "kill node ${it.nextInt(controllers)}" },
+        Kind("hang leader", 14) { "hang leader" }, Kind("refuse leader", 40) { "refuse leader" }, Kind("isolate leader", 60) { "isolate leader" },
         Kind("isolate a controller", 40) { "isolate node ${it.nextInt(controllers)}" }, Kind("state outage", 40) { "state outage" }, Kind("delay writes", 25) { "delay writes" },
         Kind("repeat reports", 40) { "repeat reports" }, Kind("deafen machines", 14) { "deafen ${1 + it.nextInt(4)} machines" }, Kind("hang machines", 12) { "hang ${1 + it.nextInt(3)} machines" },
         Kind("cut machines", 12) { "cut ${1 + it.nextInt(4)} machines" }, Kind("cut a zone", 14) { "cut zone ${zones[it.nextInt(zones.size)]}" }, Kind("kill machines", 1) { "kill ${1 + it.nextInt(2)} machines" },
--- a/src/main/kotlin/org/honeyjunction/app/nomad/NativeStatus.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NativeStatus.kt
@@ -23,14 +23,14 @@
 
 class NativeMachine(val name: String, val address: String, val type: String, val zone: String, val phase: String, val tasks: Int)
 
-/** What the holder of the term knows of native jobs and machines, for whichever controller is asked. */
+/** What the leader knows of native jobs and machines, for whichever controller is asked. */
 class NativeStatus(private val node: Node) {
     fun handles(path: String) = path == TASKS || path == MACHINES
 
-    /** At the holder: what it knows. */
+    /** At the leader: what it knows. */
     fun answer(r: Request): Response {
-        val driver = node.certainHolder ?: return Response(503, retryAfterS = 1)
-        return if (r.path == MACHINES) Response(200, machines(driver.holder.state.machines)) else try {
+        val driver = node.certainLeader ?: return Response(503, retryAfterS = 1)
+        return if (r.path == MACHINES) Response(200, machines(driver.leader.state.machines)) else try {
             Response(200, tasks(Json.readObject(r.body).list("ids").mapNotNull { it.textValue() }))
         } catch (e: MalformedException) {
             Response(400, Json.error(e.message!!))
@@ -38,7 +38,7 @@
     }
 
     private fun tasks(ids: List<String>): ByteArray {
-        val state = node.certainHolder?.holder?.state
+        val state = node.certainLeader?.leader?.state
         val o = Json.obj()
         var left = MOST_TASKS
         for (id in ids) {
@@ -66,11 +66,11 @@
 
     private suspend fun ask(path: String, body: ByteArray): ObjectNode? {
         val r = Request(if (path == MACHINES) "GET" else "POST", path, body)
-        val answer = if (node.isHolder) answer(r) else node.users.forward(r)
+        val answer = if (node.isLeader) answer(r) else node.users.forward(r)
         return answer?.takeIf { it.status == 200 }?.let { Json.readObject(it.body) }
     }
 
-    /** Null where no holder answers. What it does not know is read from the records. */
+    /** Null where no leader answers. What it does not know is read from the records. */
     suspend fun jobs(ids: List<String>): Map<String, NativeJob>? {
         val known = HashMap<String, NativeJob>()
         for (some in ids.chunked(CHUNK)) {
--- a/src/main/kotlin/org/honeyjunction/app/nomad/NomadApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NomadApi.kt
@@ -75,7 +75,7 @@
             "node" -> live(c) { views.nodes()?.firstOrNull { it.path("ID").textValue() == path.getOrNull(1) } ?: throw Told(404, "node not found") }
             "agent" -> if (path.getOrNull(1) == "self") json(views.self()) else throw Told(404, "not found")
             "status" -> when (path.getOrNull(1)) {
-                "leader" -> json(Json.text(node.holderName?.let { "$it:4647" }.orEmpty()))
+                "leader" -> json(Json.text(node.leaderName?.let { "$it:4647" }.orEmpty()))
                 "peers" -> json(Json.arr().also { a -> (node.settings.peers.map { it.name } + node.settings.node).sorted().forEach { n -> a.add("$n:4647") } })
                 else -> throw Told(404, "not found")
             }
@@ -125,18 +125,18 @@
         return json(answer(), at())
     }
 
-    /** Answers from what the holder sees, whose changes have no index of their own: the state service's revision stands for it. */
+    /** Answers from what the leader sees, whose changes have no index of their own: the state service's revision stands for it. */
     private suspend fun live(c: Call, answer: suspend () -> JsonNode?): Response {
         registry.refresh()
         val index = c.query["index"]?.toLongOrNull() ?: 0
-        var now = answer() ?: return later(NO_HOLDER)
+        var now = answer() ?: return later(NO_LEADER)
         if (index > 0 && registry.revision <= index) {
             val first = now
             val until = node.clock.steady() + waitMs(c)
             while (now == first && node.clock.steady() < until) {
                 if (!registry.await(registry.changedAt, minOf(LIVE_STEP_MS, until - node.clock.steady()))) return busy()
                 registry.refresh()
-                now = answer() ?: return later(NO_HOLDER)
+                now = answer() ?: return later(NO_LEADER)
             }
         }
         return json(now, maxOf(registry.revision, index))
@@ -162,7 +162,7 @@
         val enforce = if (o.path("EnforceIndex").asBoolean()) o.path("JobModifyIndex").asLong() else null
         return answer(registry.register(document, enforce)) { kept, warnings ->
             Json.obj().put("EvalID", Views.evaluationId(kept, kept.head.latest)).put("EvalCreateIndex", kept.version).put("JobModifyIndex", kept.version)
-                .put("Warnings", warnings.joinToString("\n") { it.at("job") }).put("Index", kept.version).put("LastContact", 0).put("KnownLeader", node.holderName != null)
+                .put("Warnings", warnings.joinToString("\n") { it.at("job") }).put("Index", kept.version).put("LastContact", 0).put("KnownLeader", node.leaderName != null)
         }
     }
 
@@ -215,7 +215,7 @@
     }
 
     private fun json(n: JsonNode, index: Long? = null): Response =
-        Response(200, Json.write(n), headers = index?.let { mapOf("X-Nomad-Index" to "${maxOf(it, 1)}", "X-Nomad-LastContact" to "0", "X-Nomad-KnownLeader" to "${node.holderName != null}") }.orEmpty())
+        Response(200, Json.write(n), headers = index?.let { mapOf("X-Nomad-Index" to "${maxOf(it, 1)}", "X-Nomad-LastContact" to "0", "X-Nomad-KnownLeader" to "${node.leaderName != null}") }.orEmpty())
 
     private fun text(status: Int, message: String) = Response(status, message.toByteArray(), headers = TEXT)
 
@@ -225,7 +225,7 @@
 
     private companion object {
         val TEXT = mapOf("Content-Type" to "text/plain; charset=utf-8")
-        const val NO_HOLDER = "no node is sure to hold the term"
+        const val NO_LEADER = "no node is sure to hold the term"
         const val DEFAULT_WAIT_MS = 60_000L
         const val MOST_WAIT_MS = 300_000L
         const val LIVE_STEP_MS = 500L
--- a/src/main/kotlin/org/honeyjunction/app/nomad/NomadHolder.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NomadLeader.kt
@@ -1,7 +1,7 @@
 package org.honeyjunction.app.nomad
 
 import kotlinx.coroutines.delay
-import org.honeyjunction.app.HolderDriver
+import org.honeyjunction.app.LeaderDriver
 import org.honeyjunction.app.Keys
 import org.honeyjunction.app.Node
 import org.honeyjunction.core.model.JobStage
@@ -32,12 +32,12 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 
-/** What the holder of a term does for registered jobs; everything it writes is fenced by the term and by the head as it was read. */
-class NomadHolder(private val node: Node, private val registry: NomadRegistry, private val driver: HolderDriver) {
-    /** What is known of a native job's record that is not, or not yet, in the holder's memory. */
+/** What the leader does for registered jobs; everything it writes is fenced by the term and by the head as it was read. */
+class NomadLeader(private val node: Node, private val registry: NomadRegistry, private val driver: LeaderDriver) {
+    /** What is known of a native job's record that is not, or not yet, in the leader's memory. */
     private enum class Record { ABSENT, SUBMITTED, DONE, CANCELLED }
 
-    private val log = LoggerFactory.getLogger(NomadHolder::class.java)
+    private val log = LoggerFactory.getLogger(NomadLeader::class.java)
     private val records = HashMap<String, Record>()
     private var rulesAt = -1L
     private val watched = HashMap<String, Watched>()
@@ -70,7 +70,7 @@
     /** The rules of all jobs that may have tasks; they must hold before any of those is submitted. */
     private suspend fun useRules() {
         val at = registry.changedAt
-        driver.holder.useJobRules(rules(registry))
+        driver.leader.useJobRules(rules(registry))
         rulesAt = at
     }
 
@@ -115,7 +115,7 @@
 
     /** Reads what only the state service can tell. Nobody else can submit in this term, so what was absent stays so. */
     private suspend fun learn(piece: Piece) {
-        if (driver.holder.status(piece.id) != null || piece.id in records) return
+        if (driver.leader.status(piece.id) != null || piece.id in records) return
         val final = state.get(Keys.final(piece.id)).value
         records[piece.id] = when {
             final != null -> if (JobCodec.stored(final, 0).stage == JobStage.DONE) Record.DONE else Record.CANCELLED
@@ -125,14 +125,14 @@
     }
 
     private fun fact(piece: Piece): Fact {
-        val job = driver.holder.state.job(piece.id)
+        val job = driver.leader.state.job(piece.id)
         if (job == null) return when (records[piece.id]) {
             Record.DONE, Record.CANCELLED -> Fact.Over(records[piece.id] == Record.DONE, gone = true)
             Record.SUBMITTED -> Fact.Active(0, started = false)
             Record.ABSENT, null -> Fact.Absent
         }
         if (job.stage == JobStage.ACTIVE) return Fact.Active(job.running, job.placements.isNotEmpty() || job.doneCount > 0)
-        // The holder will forget it, its final record stays.
+        // The leader will forget it, its final record stays.
         records[piece.id] = if (job.stage == JobStage.DONE) Record.DONE else Record.CANCELLED
         return Fact.Over(job.stage == JobStage.DONE, gone = job.placements.isEmpty())
     }
--- a/src/main/kotlin/org/honeyjunction/app/nomad/NomadRegistry.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/NomadRegistry.kt
@@ -44,7 +44,7 @@
 
 /**
  * The registry of jobs that come as files: a follower of the heads on every controller, and what users may change. A
- * registration is one write of a head, on condition of the head's and its document's versions; the holder does the rest.
+ * registration is one write of a head, on condition of the head's and its document's versions; the leader does the rest.
  */
 class NomadRegistry(private val node: Node, val options: NomadOptions) {
     sealed interface Outcome {
@@ -259,7 +259,7 @@
         return job
     }
 
-    /** The documents of all jobs at once, for a holder that begins: one by one they would take as many requests. */
+    /** The documents of all jobs at once, for a leader that begins: one by one they would take as many requests. */
     suspend fun readAll() {
         refresh()
         val open = heads.values.filter { !it.head.settled }
--- a/src/main/kotlin/org/honeyjunction/app/nomad/Views.kt
+++ b/src/main/kotlin/org/honeyjunction/app/nomad/Views.kt
@@ -14,7 +14,7 @@
 import org.honeyjunction.nomad.registry.VersionState
 import org.honeyjunction.wire.Json
 
-/** The registry and the holder's knowledge in the words of the interface. */
+/** The registry and the leader's knowledge in the words of the interface. */
 class Views(private val node: Node, private val registry: NomadRegistry, private val status: NativeStatus) {
     private fun shown(namespace: String) = registry.all.filter { !it.head.purge && (namespace == "*" || it.head.namespace == namespace) }.sortedBy { it.head.id }
 
@@ -53,7 +53,7 @@
     private fun pieces(h: Head): List<Pair<Version, Piece>> = h.versions.filter { !it.settled || it.number == h.latest.number }
         .flatMap { v -> h.pieces(listOf(v)).map { v to it } }.distinctBy { it.second.id }
 
-    /** Null: no holder answers. */
+    /** Null: no leader answers. */
     suspend fun allocations(of: KeptHead?): ArrayNode? {
         val all = (of?.let { listOf(it) } ?: shown("*")).map { it to pieces(it.head) }
         val known = status.jobs(all.flatMap { (_, pieces) -> pieces.map { it.second.id } }) ?: return null
@@ -126,7 +126,7 @@
     fun self(): JsonNode = Json.obj().apply {
         putObject("config").put("Datacenter", node.settings.cluster.zones.name(0)).put("Region", "global").put("NodeName", node.settings.node)
         putObject("member").put("Name", node.settings.node).put("Status", "alive")
-        putObject("stats").putObject("nomad").put("leader", node.isHolder.toString()).put("server", "true")
+        putObject("stats").putObject("nomad").put("leader", node.isLeader.toString()).put("server", "true")
     }
 
     /** What a registration would change, group by group. */
--- a/src/main/kotlin/org/honeyjunction/core/admission/Flow.kt
+++ b/src/main/kotlin/org/honeyjunction/core/admission/Flow.kt
@@ -12,8 +12,8 @@
 data class Asked(val flow: Flow, val urgent: Boolean, val perS: Double)
 
 /**
- * Which of two plans is the newer: terms come in one order (the state service's), and within a term its holder counts. What an
- * earlier holder says late is thereby known to be old.
+ * Which of two plans is the newer: terms come in one order (the state service's), and within a term its leader counts. What an
+ * earlier leader says late is thereby known to be old.
  */
 data class Epoch(val term: Long, val number: Long) : Comparable<Epoch> {
     override fun compareTo(other: Epoch) = compareValuesBy(this, other, Epoch::term, Epoch::number)
--- a/src/main/kotlin/org/honeyjunction/core/admission/Gate.kt
+++ b/src/main/kotlin/org/honeyjunction/core/admission/Gate.kt
@@ -2,7 +2,7 @@
 
 /**
  * A node's door for new jobs. While the queue of what waits to be recorded is short everybody is let in, and charged; else only who has credit by
- * the holder's plan; beyond what users wait for, nobody but urgent jobs with credit. A refusal is an answer at once, with the time to come back.
+ * the leader's plan; beyond what users wait for, nobody but urgent jobs with credit. A refusal is an answer at once, with the time to come back.
  * Without a plan in force the node rations what it may write itself, by the same weights. Steady milliseconds.
  */
 class Gate(private val weights: Map<String, Double>, now: Long) {
@@ -39,11 +39,11 @@
     /** What the plan in force grants, in jobs a second. */
     fun grantedPerS(now: Long): Double = plan?.takeIf { now < planUntil }?.let { it.perS - it.restPerS } ?: 0.0
 
-    /** A question to the holder leaves now: answers to earlier ones do not count any more. */
+    /** A question to the leader leaves now: answers to earlier ones do not count any more. */
     fun asks(now: Long): Long = now.also { askedAt = it }
 
     /**
-     * The answer to the question that left at [asked]. Its end is counted from there, since the holder counts from no earlier moment. False: it
+     * The answer to the question that left at [asked]. Its end is counted from there, since the leader counts from no earlier moment. False: it
      * is older than what this node has, or answers an earlier question, and changes nothing.
      */
     fun planned(next: Plan, asked: Long, now: Long): Boolean {
--- a/src/main/kotlin/org/honeyjunction/core/admission/PlanMaker.kt
+++ b/src/main/kotlin/org/honeyjunction/core/admission/PlanMaker.kt
@@ -1,7 +1,7 @@
 package org.honeyjunction.core.admission
 
 /**
- * The holder's part: turns what all nodes' users ask for into a plan for each node. Between teams by max-min with [weights] (their guarantees, with a
+ * The leader's part: turns what all nodes' users ask for into a plan for each node. Between teams by max-min with [weights] (their guarantees, with a
  * floor), then between classes, urgent ones first; a flow's part lies where its users come.
  *
  * What all nodes may let in together never exceeds what there is, whatever is late, lost or doubled: a node's grant counts as in force until it ends,
@@ -19,7 +19,7 @@
     /** A node tells what its users ask for, and which plan it has: [has] and how much that grants. */
     fun heard(node: String, asked: List<Asked>, has: Epoch, hasPerS: Double, now: Long) {
         val h = heard.getOrPut(node) {
-            // What an earlier holder granted is in force for as long as any grant lasts.
+            // What an earlier leader granted is in force for as long as any grant lasts.
             Heard(asked, now).also { if (has.term in 1 until term) it.granted += Granted(has, hasPerS, now + LASTS_MS) }
         }
         h.asked = asked
@@ -34,7 +34,7 @@
         return granted.maxOfOrNull { it.perS } ?: 0.0
     }
 
-    /** What an earlier holder may have granted to those who have not been heard yet: of [perS] in all perhaps everything to one of them. */
+    /** What an earlier leader may have granted to those who have not been heard yet: of [perS] in all perhaps everything to one of them. */
     private fun unheard(perS: Double, now: Long): Double = if (now < startedAt + LASTS_MS && heard.size < nodes) perS else 0.0
 
     /** The plan of [node] while [perS] jobs a second can be taken in by all together; [crowded] teams have too many tasks waiting already. */
--- a/src/main/kotlin/org/honeyjunction/core/blame/Blame.kt
+++ b/src/main/kotlin/org/honeyjunction/core/blame/Blame.kt
@@ -29,7 +29,7 @@
 /** What became of the health of [machines], and how long the job had better wait, in milliseconds. */
 class Judgement(val pauseMs: Long, val machines: Map<Int, MachineHealth>)
 
-/** A job that is not sound, for a later holder; [sinceWall] by the time of day. */
+/** A job that is not sound, for a later leader; [sinceWall] by the time of day. */
 data class JobMark(val job: String, val failing: Boolean, val tries: Int, val machines: Int, val sinceWall: Long)
 
 /**
@@ -52,7 +52,7 @@
         var since = 0L
         var triedAt = Long.MIN_VALUE / 2
 
-        /** Of an earlier holder: on how many machines it had failed. */
+        /** Of an earlier leader: on how many machines it had failed. */
         var before = 0
     }
 
@@ -65,7 +65,7 @@
     private val jobs = HashMap<Int, JobRecord>()
     private val machines = HashMap<Int, MachineRecord>()
 
-    /** Raised by each change that a later holder should know of. */
+    /** Raised by each change that a later leader should know of. */
     var version = 0L
         private set
 
@@ -177,12 +177,12 @@
         return minOf(FIRST_PAUSE_MS shl j.tries.coerceAtMost(MOST_DOUBLINGS), mostPauseMs)
     }
 
-    /** What a later holder should know; [nameOf] null: the job is over. */
+    /** What a later leader should know; [nameOf] null: the job is over. */
     fun marks(wallOffset: Long, nameOf: (Int) -> String?): List<JobMark> = jobs.entries
         .filter { it.value.health == JobHealth.FAILING || it.value.health == JobHealth.SUSPECT }.sortedByDescending { it.value.health }.take(MOST_MARKS)
         .mapNotNull { (index, j) -> nameOf(index)?.let { JobMark(it, j.health == JobHealth.FAILING, j.tries, maxOf(j.failedOn.size, j.before), j.since + wallOffset) } }
 
-    /** What an earlier holder knew of [job]; the pause that it still has to make. */
+    /** What an earlier leader knew of [job]; the pause that it still has to make. */
     fun restore(job: Int, mark: JobMark, wallOffset: Long): Long {
         val j = jobs.getOrPut(job, ::JobRecord)
         j.health = if (mark.failing) JobHealth.FAILING else JobHealth.SUSPECT
@@ -199,7 +199,7 @@
         /** Jobs, not known to fail elsewhere, that have to fail on a machine for it to be at fault. */
         const val CHARGES = 2
 
-        /** What a later holder is told of: more would be no hint but a burden. */
+        /** What a later leader is told of: more would be no hint but a burden. */
         const val MOST_MARKS = 20
         private const val FIRST_PAUSE_MS = 500L
         private const val MOST_DOUBLINGS = 10
--- a/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
+++ b/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
@@ -6,7 +6,7 @@
 /** Machines of one kind: type, zone, and whether it is a spot machine, by their dense indices. */
 data class Kind(val type: Int, val zone: Int, val spot: Boolean)
 
-/** What a later holder is told of the boot times of one kind: how many were seen, and their middle and late quantile in milliseconds. */
+/** What a later leader is told of the boot times of one kind: how many were seen, and their middle and late quantile in milliseconds. */
 data class BootMark(val type: String, val zone: String, val spot: Boolean, val count: Int, val medianMs: Long, val lateMs: Long)
 
 /** What is to be done about a machine that is still booting. */
@@ -89,7 +89,7 @@
         BootMark(type, zone, kind.spot, seen.count.coerceAtMost(ENOUGH.toLong()).toInt(), quantile(seen, 50.0), quantile(seen, LATE_QUANTILE))
     }
 
-    /** What an earlier holder had seen, as well as a middle and a late quantile tell it. */
+    /** What an earlier leader had seen, as well as a middle and a late quantile tell it. */
     fun restore(kind: Kind, mark: BootMark, now: Long) {
         val seen = kinds.getOrPut(kind, ::Seen)
         turn(seen, now)
--- a/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/ClusterState.kt
@@ -1,7 +1,7 @@
 package org.honeyjunction.core.control
 
 import org.honeyjunction.core.evidence.SessionLease
-import org.honeyjunction.core.evidence.TermDoor
+import org.honeyjunction.core.evidence.LeaseCheck
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobSpec
@@ -26,7 +26,7 @@
     val stage: JobStage,
 )
 
-/** What the term holder knows: jobs, machines, and which task is, or might be, where. Totals are kept here alone. */
+/** What the leader knows: jobs, machines, and which task is, or might be, where. Totals are kept here alone. */
 class ClusterState(val cluster: Cluster, val tuning: Tuning, val term: Long, val startedAt: Long = 0) {
     private val jobSlots = ArrayList<Job?>()
     private val jobIndex = Names()
@@ -52,13 +52,13 @@
     /** When the latest event came. */
     var now = Long.MIN_VALUE / 2
 
-    /** What is decided here leaves by this door, or waits. */
-    val door = TermDoor(startedAt)
+    /** What is decided here passes this check before it leaves, or waits. */
+    val leaseCheck = LeaseCheck(startedAt)
 
     /** Until then nobody else can hold the term, as far as this process can be sure of anything. */
-    val leaseValidUntil get() = if (door.state == TermDoor.State.WOKEN) Long.MIN_VALUE else door.validUntil
+    val leaseValidUntil get() = if (leaseCheck.state == LeaseCheck.State.WOKEN) Long.MIN_VALUE else leaseCheck.validUntil
 
-    /** The rules in force, as this holder knows them. */
+    /** The rules in force, as this leader knows them. */
     var book = RuleBook(cluster, RuleSet.NONE)
         private set
 
@@ -197,7 +197,7 @@
         if (placement.gone) return
         val machine = placement.machine
         unlink(placement)
-        // A fetch that nobody waits for is given up. What an earlier holder had started has most likely been fetched: to forget
+        // A fetch that nobody waits for is given up. What an earlier leader had started has most likely been fetched: to forget
         // its image would send every task of a zone that comes back to where it has to be fetched again.
         if (placement.phase <= Phase.FETCHING && placement.phase != Phase.UNHEARD && machine.placements.values.none { it.task.job.image == placement.task.job.image }) {
             machine.images.remove(placement.task.job.image)
--- a/src/main/kotlin/org/honeyjunction/core/control/Conservation.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Conservation.kt
@@ -43,7 +43,7 @@
     fun of(job: Job, now: Long): Stalled? = seen[job.index]?.takeIf { now - it.since > patienceMs(job) }?.let { Stalled(job.spec.id, it.tasks, it.obstacle, it.since) }
 
     fun step(now: Long) {
-        // Past its lease a holder starts nothing, whatever has room.
+        // Past its lease a leader starts nothing, whatever has room.
         if (now >= state.leaseValidUntil) return seen.clear()
         if (now < nextAt) return
         nextAt = now + PERIOD_MS
--- a/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Explainer.kt
@@ -24,7 +24,7 @@
 class Explanation(
     val task: String,
     val machine: String?,
-    /** When it was decided; null where it is told as things stand now, since another holder decided. */
+    /** When it was decided; null where it is told as things stand now, since another leader decided. */
     val decidedAt: Long?,
     val version: Long,
     val rules: List<RuleLine>,
--- a/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Fleet.kt
@@ -65,7 +65,7 @@
     }
 
     private fun release(now: Long) {
-        // A holder that was cut off takes its machines for lost; its releases, held back and executed when the cut ends,
+        // A leader that was cut off takes its machines for lost; its releases, held back and executed when the cut ends,
         // would take them from its successor.
         if (releasing || now < releaseRetryAt || now >= state.leaseValidUntil) return
         val due = state.machines.filter { it.phase == MachinePhase.RELEASING }.map { it.name }.take(MAX_RELEASE)
@@ -179,7 +179,7 @@
 
     private fun rent(offer: Offer, count: Int, now: Long) {
         if (rentals.values.any { it.offer == offer }) return
-        // Term and sequence: a name that no other holder, before or after a restart, can have used.
+        // Term and sequence: a name that no other leader, before or after a restart, can have used.
         val name = "r-${state.term}-${state.nextSequence() and 0xFFFFFF}"
         val effect = Effect.Rent(
             name, offer, state.cluster.types.getValue(offer.type).name, state.cluster.zones.name(offer.zone), count,
@@ -225,7 +225,7 @@
         const val RETRY_MS = 1_000L
         const val HOLD_PERIODS = 3
 
-        /** A new holder waits for this part of the idle time before it returns what was idle before its term. */
+        /** A new leader waits for this part of the idle time before it returns what was idle before its term. */
         const val SETTLED = 3
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Hints.kt
@@ -12,7 +12,7 @@
 import org.honeyjunction.core.served.Tally
 
 /**
- * Leaves for a later holder where the machines are and what they cache, page by page, as far as the budget of writes
+ * Leaves for a later leader where the machines are and what they cache, page by page, as far as the budget of writes
  * lets it. Nothing relies on it: what is missing or old shows in the cloud's list and the workers' reports.
  */
 class Hints(private val state: ClusterState, private val blame: Blame, private val boots: BootTimes, private val served: Served, private val wallOffset: Long) {
@@ -83,7 +83,7 @@
         /** Boot times change little by little. */
         const val LEARNED_MS = 30_000L
 
-        /** Those that are silent too: a later holder must know of them. */
+        /** Those that are silent too: a later leader must know of them. */
         val KNOWN = setOf(MachinePhase.UNHEARD, MachinePhase.UP, MachinePhase.QUIET, MachinePhase.LOST)
         const val MACHINE_BYTES = 500
         const val MAX_IMAGES = 6
--- a/src/main/kotlin/org/honeyjunction/core/control/Holder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Leader.kt
@@ -9,7 +9,7 @@
 import org.honeyjunction.core.boot.Kind
 import org.honeyjunction.core.evidence.RenewalBound
 import org.honeyjunction.core.evidence.SessionLease
-import org.honeyjunction.core.evidence.TermDoor
+import org.honeyjunction.core.evidence.LeaseCheck
 import org.honeyjunction.core.model.Cluster
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
@@ -35,10 +35,10 @@
 class Recovered(val jobs: List<StoredJob>, val pages: List<PageRecord>, val machines: List<MachineHint>, val marks: Marks = Marks())
 
 /**
- * The holder of a term: the machine controller of all machines. Events and the time go in, effects come out; it does
+ * The leader: the machine controller of all machines. Events and the time go in, effects come out; it does
  * no input or output and reads no clock.
  */
-class Holder(
+class Leader(
     cluster: Cluster,
     private val tuning: Tuning,
     val term: Long,
@@ -145,9 +145,9 @@
     /** What waits beside room that it may use, for longer than it should. */
     fun stalled(now: Long): List<Stalled> = conservation.stalled(now)
 
-    /** What may leave now; the rest waits until the door opens, or is never done. */
+    /** What may leave now; the rest waits until the lease is sure, or is never done. */
     fun drain(): List<Effect> {
-        if (state.door.state != TermDoor.State.WOKEN) return ArrayList(state.effects).also { state.effects.clear() }
+        if (state.leaseCheck.state != LeaseCheck.State.WOKEN) return ArrayList(state.effects).also { state.effects.clear() }
         val harmless = state.effects.filter { it is Effect.Tell || it is Effect.StepDown || it is Effect.Cancelled || it is Effect.Send && it.harmless }
         state.effects.removeAll(harmless.toSet())
         return harmless
@@ -156,14 +156,14 @@
     /** Before anything else is done with an event: whether this process still knows what it knew. */
     private fun enter(now: Long) {
         state.now = now
-        val pauseMs = state.door.beat(now)
-        if (pauseMs > 0) state.effects += Effect.Tell("stood-still", "for $pauseMs ms, the term's lease is ${if (state.door.state == TermDoor.State.OPEN) "still" else "no longer sure to be"} held")
+        val pauseMs = state.leaseCheck.beat(now)
+        if (pauseMs > 0) state.effects += Effect.Tell("stood-still", "for $pauseMs ms, the term's lease is ${if (state.leaseCheck.state == LeaseCheck.State.HELD) "still" else "no longer sure to be"} held")
     }
 
     /** Whether what was decided a while ago may still be done: start, rent and give back only within the lease; a stop always, since it is safe to repeat. */
     fun mayAct(now: Long, withinLease: Boolean): Boolean {
         enter(now)
-        return !withinLease || state.door.state == TermDoor.State.OPEN
+        return !withinLease || state.leaseCheck.state == LeaseCheck.State.HELD
     }
 
     /** The rules that starts go by from now on; an older version than the present one changes nothing. */
@@ -185,7 +185,7 @@
 
     /** The lease of the term holds until then; told at [now]. */
     fun leaseUntil(until: Long, now: Long) {
-        state.door.renewed(until, now)
+        state.leaseCheck.renewed(until, now)
         renewal(RenewalBound.Event.Leased(until, now))
     }
 
@@ -336,7 +336,7 @@
 
     fun propose(proposals: List<Proposal>, now: Long): List<Boolean> {
         enter(now)
-        if (state.door.state == TermDoor.State.WOKEN) return proposals.map { false }
+        if (state.leaseCheck.state == LeaseCheck.State.WOKEN) return proposals.map { false }
         val accepted = starts.accept(proposals, now)
         settle(now)
         return accepted
@@ -355,7 +355,7 @@
     fun tick(now: Long) {
         enter(now)
         renewal(RenewalBound.Event.Watched(now))
-        if (state.door.state == TermDoor.State.WOKEN) return starts.stop(state.machines, now)
+        if (state.leaseCheck.state == LeaseCheck.State.WOKEN) return starts.stop(state.machines, now)
         silence.step(now)
         zones.step(now)
         fleet.watch(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -63,10 +63,10 @@
     /** A page of the ledger, on condition of the version that it names; [write] tells one writing from another. */
     data class Page(val record: PageRecord, val write: Long) : Change
 
-    /** What helps a new holder but nobody relies on: where machines are and what they cache. */
+    /** What helps a new leader but nobody relies on: where machines are and what they cache. */
     data class Hints(val page: Int, val machines: List<MachineHint>) : Change
 
-    /** What a later holder need not find out again. */
+    /** What a later leader need not find out again. */
     data class Learned(val marks: Marks) : Change
 
     /** Moves the record of the job at [version] to the final ones. */
@@ -83,7 +83,7 @@
     val zone: String,
     val spot: Boolean,
     val session: Long,
-    /** What its cache was believed to hold, so that a new holder knows where tasks would be local. */
+    /** What its cache was believed to hold, so that a new leader knows where tasks would be local. */
     val images: Map<String, Double>,
     /** By the time of day, in milliseconds: since when it has had nothing to do; null: it had, or not for long yet. */
     val idleSinceWall: Long? = null,
@@ -122,6 +122,6 @@
     /** For the log: something that operators should know of, under the stable name [event]: words of small letters with hyphens. */
     data class Tell(val event: String, val what: String) : Effect
 
-    /** This node can no longer be sure to be the only holder. */
+    /** This node can no longer be sure to be the only leader. */
     data class StepDown(val reason: String) : Effect
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -47,7 +47,7 @@
             Phase.RESERVED, Phase.RECORDED -> false
             // A held-back start can still be executed until the session or the token has moved on.
             Phase.SENT -> newSession || report.token >= placement.voidAbove
-            // An earlier holder's commands are void only once the worker has seen this term's token.
+            // An earlier leader's commands are void only once the worker has seen this term's token.
             Phase.UNHEARD -> report.token >= state.termToken
             Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.SAVING -> true
         }
@@ -74,7 +74,7 @@
             known.enter(phase, now)
             if (phase == Phase.RUNNING) job.started = true
             machine.idleSince = Long.MIN_VALUE
-            // A running task's image is there, whatever an earlier holder's record said.
+            // A running task's image is there, whatever an earlier leader's record said.
             state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
             return
         }
--- a/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
@@ -59,7 +59,7 @@
     private fun cancelled(job: Job) = job.stage == JobStage.CANCELLED || job.cancelAsked
 
     /** While no machine at all is heard, the silence says more of this node than of them. */
-    fun deaf(now: Long) = state.machines.none { now - it.lastHeardAt < state.cluster.reportMs * 4 } || now - state.door.resumedAt < state.cluster.reportMs * 2
+    fun deaf(now: Long) = state.machines.none { now - it.lastHeardAt < state.cluster.reportMs * 4 } || now - state.leaseCheck.resumedAt < state.cluster.reportMs * 2
 
     /**
      * The machines to release as proof that replicas of production are gone: those unheard past any lease that have one
--- a/src/main/kotlin/org/honeyjunction/core/control/WriteShares.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/WriteShares.kt
@@ -1,8 +1,8 @@
 package org.honeyjunction.core.control
 
 /**
- * Shares out the changes a second that the state service allows all nodes together. While nothing waits anywhere the holder
- * of the term has most, for its pages. What waits moves the shares: users may all come to one node that is not the holder,
+ * Shares out the changes a second that the state service allows all nodes together. While nothing waits anywhere the leader
+ * of the term has most, for its pages. What waits moves the shares: users may all come to one node that is not the leader,
  * and with a fixed share it would take a minute to accept what the others have room for.
  *
  * A share that was told lasts for [LASTS_MS]; a node that hears of none goes back to its fixed one. Times in milliseconds.
@@ -13,7 +13,7 @@
     private val asked = HashMap<String, Asked>()
 
     /**
-     * The share, in changes a second, of [node], where [queued] writes wait; [own] new jobs wait at the holder, which has to make [must] changes a second
+     * The share, in changes a second, of [node], where [queued] writes wait; [own] new jobs wait at the leader, which has to make [must] changes a second
      * for what runs and ends.
      */
     fun grant(node: String, queued: Int, own: Int, must: Double, now: Long): Double {
@@ -22,14 +22,14 @@
         return if (total == 0) perS * fixed(leading = false, nodes) else perS * LEAST_FOLLOWER + moved(must) * queued / total
     }
 
-    /** The holder's own share: what it must, and of the rest by what waits. */
+    /** The leader's own share: what it must, and of the rest by what waits. */
     fun own(queued: Int, must: Double, now: Long): Double {
         val total = waiting(queued, now)
         if (total == 0) return perS * fixed(leading = true, nodes)
         return leader(must) + moved(must) * queued / total
     }
 
-    /** What is taken in has to be ended later: a holder that can't keep up with that would fall behind for ever. */
+    /** What is taken in has to be ended later: a leader that can't keep up with that would fall behind for ever. */
     private fun leader(must: Double) = must.coerceIn(perS * LEAST_LEADER, perS * MOST_LEADER)
 
     private fun waiting(own: Int, now: Long): Int {
--- a/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
@@ -3,7 +3,7 @@
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
 
-/** What a zone is to this holder as a whole: many machines that fall silent together are one event, not hundreds. */
+/** What a zone is to this leader as a whole: many machines that fall silent together are one event, not hundreds. */
 enum class ZoneState {
     CALM,
 
@@ -88,7 +88,7 @@
     fun overdue(m: Machine, now: Long) = silentMs(m, now) > state.cluster.reportMs * OVERDUE_REPORTS
 
     /** While this process stood still it could hear nobody: that is no silence of theirs. */
-    fun silentMs(m: Machine, now: Long) = now - maxOf(maxOf(m.lastHeardAt, m.knownSince), maxOf(startedAt, state.door.resumedAt))
+    fun silentMs(m: Machine, now: Long) = now - maxOf(maxOf(m.lastHeardAt, m.knownSince), maxOf(startedAt, state.leaseCheck.resumedAt))
 
     /** Whether [m] was rented while a zone was cut off that has come back since: it may not be needed any more. */
     fun rentedInstead(m: Machine, now: Long): Boolean = zones.any { m.knownSince in it.cutAt..it.returnedAt && now - it.returnedAt < GIVE_BACK_MS }
--- a/src/main/kotlin/org/honeyjunction/core/evidence/TermDoor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/evidence/LeaseCheck.kt
@@ -1,26 +1,26 @@
 package org.honeyjunction.core.evidence
 
 /**
- * The one door through which what a holder decided leaves it, and what opens it: the state service's lease on the term, and
+ * The one check that what a leader decided passes before it leaves: the state service's lease on the term, and
  * that the process has not stood still. A process that did finds its clocks ahead and its queues full of what it once knew;
  * another may hold the term by then. Before it does anything else it must hear from the state service.
  *
  * Steady milliseconds. [beat] is to be called with each event; that nothing came for [STOOD_STILL_MS], though a tick was due
  * every tenth of a second, shows that the process stood still (or could not keep up, which is no better).
  */
-class TermDoor(now: Long) {
+class LeaseCheck(now: Long) {
     enum class State {
         /** Within the lease: all goes out. */
-        OPEN,
+        HELD,
 
         /** Past the lease, as in an outage of the state service: nothing is started, rented or given back; the rest goes on. */
-        OVERDUE,
+        LAPSED,
 
         /** Woken past the lease: nothing goes out but answers to workers, which keep their leases alive, until it is renewed. */
         WOKEN,
     }
 
-    var state = State.OVERDUE
+    var state = State.LAPSED
         private set
 
     /** Until then nobody else can hold the term. */
@@ -50,9 +50,9 @@
     }
 
     private fun next(now: Long, stoodStill: Boolean, renewed: Boolean): State = when {
-        now < validUntil && (state != State.WOKEN || renewed) -> State.OPEN
+        now < validUntil && (state != State.WOKEN || renewed) -> State.HELD
         stoodStill || state == State.WOKEN -> State.WOKEN
-        else -> State.OVERDUE
+        else -> State.LAPSED
     }
 
     companion object {
--- a/src/main/kotlin/org/honeyjunction/core/evidence/SessionLease.kt
+++ b/src/main/kotlin/org/honeyjunction/core/evidence/SessionLease.kt
@@ -1,11 +1,11 @@
 package org.honeyjunction.core.evidence
 
 /**
- * What the holder of a term knows of one worker's session and of the lease that goes with it (PROTOCOL, "Tokens" and
+ * What the leader knows of one worker's session and of the lease that goes with it (PROTOCOL, "Tokens" and
  * "Leases"). All that makes the end of a lease evidence meets here, and [on] is the only way any of it changes.
  *
  * The lease of a session runs from the sending of the last report that was answered in it, or else from when the session
- * began. The holder sees neither; it counts from what cannot be earlier: the latest of its answers to a report of *this*
+ * began. The leader sees neither; it counts from what cannot be earlier: the latest of its answers to a report of *this*
  * session and its first word of it, whichever way that came (a report, or the answer to a command). An answer to a report of
  * an earlier session is dropped by the worker and says nothing.
  */
@@ -14,7 +14,7 @@
         /** The worker has not shown this term's token: others may renew its lease, so time is no evidence. */
         FOREIGN,
 
-        /** Nobody but this holder renews it, and it counts from [from]. */
+        /** Nobody but this leader renews it, and it counts from [from]. */
         COUNTED,
 
         /** The lease of [session] is over, and with it all that was started in it or before. The next one is not known. */
@@ -67,7 +67,7 @@
         private set
     private var sequence = -1L
 
-    /** Whether the worker has shown this term's token, which voids the commands of every earlier holder. */
+    /** Whether the worker has shown this term's token, which voids the commands of every earlier leader. */
     val fenced get() = ackedToken >= termToken
 
     fun on(event: Event): Finding = when (event) {
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -66,7 +66,7 @@
 fun Cluster.zonesFor(spec: JobSpec, type: MachineType): Long =
     type.zones.filter { spec.zone == null || zones.name(it) == spec.zone }.fold(0L) { mask, z -> mask or (1L shl z) }
 
-/** A job as the term holder sees it. [version] is the revision of its durable record. */
+/** A job as the leader sees it. [version] is the revision of its durable record. */
 class Job(val index: Int, val spec: JobSpec, val team: Int, val image: Int, val owner: String, val createdAt: Long) {
     var stage = JobStage.ACTIVE
         private set
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -4,10 +4,10 @@
 import org.honeyjunction.core.evidence.SessionLease
 
 enum class MachinePhase {
-    /** Rented or listed; its worker has never been heard, as far as this holder knows. */
+    /** Rented or listed; its worker has never been heard, as far as this leader knows. */
     BOOTING,
 
-    /** Known from what an earlier holder left, or from a word that was held back: not heard under this term. It may have tasks. */
+    /** Known from what an earlier leader left, or from a word that was held back: not heard under this term. It may have tasks. */
     UNHEARD,
     UP,
 
--- a/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
+++ b/src/main/kotlin/org/honeyjunction/core/placement/Summary.kt
@@ -91,7 +91,7 @@
             (spot || !spotMachine) && priority >= floor && need.fitsIn(free)
 }
 
-/** The holder's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
+/** The leader's summary for one controller: free room and images, team shares, and that controller's waiting tasks. */
 class Summary(val rooms: List<Room>, val teams: List<TeamShare>, val slots: Int, val rows: List<Row>, val rules: RuleTable = RuleTable.NONE)
 
 data class Proposal(val job: Int, val task: Int, val machine: Int)
--- a/src/main/kotlin/org/honeyjunction/core/rules/RuleTable.kt
+++ b/src/main/kotlin/org/honeyjunction/core/rules/RuleTable.kt
@@ -4,7 +4,7 @@
 
 /**
  * Rules compiled to dense indices: shapes (tasks that are alike to all rules), places (machines that are alike) and
- * clauses. It travels with a summary, so that every controller's round goes by the holder's version.
+ * clauses. It travels with a summary, so that every controller's round goes by the leader's version.
  */
 class RuleTable(val version: Long, val clauses: List<Compiled>, val clausesOf: List<IntArray>, val places: List<IntArray>) {
     /** [weight] is infinite for a must. [rule] tells the rule that it belongs to. */
@@ -14,7 +14,7 @@
         val same: Boolean = test.has { it is Expr.Same }
     }
 
-    /** A compiled test; the sets grow in the holder as shapes and places become known. */
+    /** A compiled test; the sets grow in the leader as shapes and places become known. */
     sealed interface Expr {
         class InPlaces(val places: BitSet) : Expr
 
--- a/src/main/kotlin/org/honeyjunction/emulator/Day.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Day.kt
@@ -10,7 +10,7 @@
 import org.honeyjunction.standin.Work
 import org.honeyjunction.standin.victims
 
-/** A day of a large fleet in virtual time: jobs and troubles at their times, one holder of the term after the other. */
+/** A day of a large fleet in virtual time: jobs and troubles at their times, one leader after the other. */
 class Day(private val setup: Setup, machines: Int, seed: Long, jobs: List<PlannedJob>, faults: List<Fault>, private val tell: (Long, String) -> Unit) {
     val world = World(seed, machines, setup)
     val account = Account(world, setup.type, GRACE_MS)
@@ -32,8 +32,8 @@
         when (f.whom) {
             Fault.Whom.State -> world.state.down = true
             Fault.Whom.Cloud -> world.cloudDown = true
-            // One holder acts here at a time: whichever node is meant, its successor is elected when its lease is over.
-            Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node -> when (f.what) {
+            // One leader acts here at a time: whichever node is meant, its successor is elected when its lease is over.
+            Fault.Whom.Leader, Fault.Whom.AllNodes, is Fault.Whom.Node -> when (f.what) {
                 Fault.What.REFUSE, Fault.What.ISOLATE -> world.cutOff()
                 Fault.What.HANG -> world.freeze(f.forMs)
                 else -> world.crash()
@@ -70,7 +70,7 @@
         is Fault.Whom.Node -> "node ${whom.number}"
         Fault.Whom.AllNodes -> "all nodes"
         Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> whom.toString().lowercase()
-        Fault.Whom.Holder, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
+        Fault.Whom.Leader, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
     }
 
     /** Plays on until all but services is over, a rule is broken, or [withinMs] have passed. */
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -4,7 +4,7 @@
 import org.honeyjunction.core.control.ClusterState
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
-import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.control.Obstacle
 import org.honeyjunction.core.control.StoredJob
@@ -71,7 +71,7 @@
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private var order = 0L
     private var names = 0
-    var holder: Core? = null
+    var leader: Core? = null
         private set
     var cloudDown = false
     var rentedInAll = 0
@@ -88,7 +88,7 @@
     /** Whether connections across a cut are reset, so that nothing is held back. */
     var resets = false
 
-    /** Until then an overloaded holder reads reports but its answers come too late; and then, until when it does not even read them. Commands pass. */
+    /** Until then an overloaded leader reads reports but its answers come too late; and then, until when it does not even read them. Commands pass. */
     var answersLateUntil = 0L
     var reportsWaitUntil = 0L
 
@@ -110,21 +110,21 @@
     /** Machines that are paid for and not up. */
     fun booting(): Int = booting.size
 
-    /** The holder reaches neither the state service nor the cloud nor other controllers; its workers stay with it as long as it answers them. */
+    /** The leader reaches neither the state service nor the cloud nor other controllers; its workers stay with it as long as it answers them. */
     fun cutOff() {
-        holder?.cutOff = true
+        leader?.cutOff = true
         at(LEASE) { elect() }
     }
 
-    /** The holder's process stands still for [forMs]; another takes the term when its lease has run out. */
+    /** The leader's process stands still for [forMs]; another takes the term when its lease has run out. */
     fun freeze(forMs: Long) {
-        val core = holder ?: return
+        val core = leader ?: return
         core.frozenUntil = now + forMs
-        if (forMs > LEASE) at(LEASE + 400) { if (core === holder && !state.down) elect() }
+        if (forMs > LEASE) at(LEASE + 400) { if (core === leader && !state.down) elect() }
     }
 
     fun crash() {
-        holder?.alive = false
+        leader?.alive = false
         at(LEASE) { elect() }
     }
 
@@ -135,7 +135,7 @@
 
     private fun heldBackMs() = 15_000L + random.nextInt(30_000)
 
-    /** What the state service has; every new holder reads it first. */
+    /** What the state service has; every new leader reads it first. */
     var rules = rules
         private set
 
@@ -145,7 +145,7 @@
 
     fun apply(next: RuleSet) {
         rules = next
-        holder?.run { useRules(next) }
+        leader?.run { useRules(next) }
     }
 
     /** Musts that are certain, and that nothing stands beside what a rule keeps away; of the rules that were in force a moment ago too. */
@@ -158,7 +158,7 @@
 
     private class Event(val at: Long, val order: Long, val run: () -> Unit)
 
-    /** A holder's process; a deposed one that does not know it yet goes on acting. */
+    /** A leader's process; a deposed one that does not know it yet goes on acting. */
     inner class Core(val term: Long) {
         var alive = true
         var reachable = true
@@ -168,16 +168,16 @@
 
         /** What it sends to workers is lost. */
         var unheard = nextUnheard
-        val holder = Holder(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules, listOf(OTHER)).also { it.leaseUntil(now + LEASE, now) }
+        val leader = Leader(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules, listOf(OTHER)).also { it.leaseUntil(now + LEASE, now) }
 
         /** Stands still until then, while its clocks run on: what happens meanwhile is seen afterwards, in its order. */
         var frozenUntil = 0L
 
-        fun run(block: Holder.() -> Unit) {
+        fun run(block: Leader.() -> Unit) {
             if (!alive) return
             if (now < frozenUntil) return at(frozenUntil - now) { run(block) }
-            holder.block()
-            for (e in holder.drain()) carryOut(this, e)
+            leader.block()
+            for (e in leader.drain()) carryOut(this, e)
         }
     }
 
@@ -187,16 +187,16 @@
 
     private fun latency() = 2L + random.nextInt(20)
 
-    /** A new term begins; the old holder's writes do not count any more, though it may not know. */
+    /** A new term begins; the old leader's writes do not count any more, though it may not know. */
     fun elect() {
         state.term++
-        holder = Core(state.term).also(::tick)
+        leader = Core(state.term).also(::tick)
     }
 
     private fun tick(core: Core) {
         if (!core.alive) return
         if (now < core.frozenUntil) return at(core.frozenUntil - now) { tick(core) }
-        if (core === holder && !state.down && !core.cutOff) core.holder.leaseUntil(now + LEASE, now)
+        if (core === leader && !state.down && !core.cutOff) core.leader.leaseUntil(now + LEASE, now)
         if (!core.cutOff && now % VOUCH_MS < 100) vouch(core)
         core.run { tick(now) }
         at(100) { tick(core) }
@@ -217,11 +217,11 @@
 
     fun submit(spec: JobSpec): String {
         val stored = state.submit(StoredJob(spec, NODE, now, 0, JobStage.ACTIVE))
-        at(latency()) { holder?.run { jobSeen(stored, now, now) } }
+        at(latency()) { leader?.run { jobSeen(stored, now, now) } }
         return spec.id
     }
 
-    fun cancel(id: String) = holder?.run { cancel(id, now) }
+    fun cancel(id: String) = leader?.run { cancel(id, now) }
 
     private fun work(id: String) = (state.jobs[id] ?: state.finals[id])?.let { Work(it.spec, it.spec.estimateS, it.spec.jobClass == "faulty") }
 
@@ -231,7 +231,7 @@
             is Effect.Send -> deliver(core, e)
             is Effect.Rent -> at(100) { rent(core, e) }
             is Effect.Release -> at(if (core.cutOff) heldBackMs() else 100) {
-                // A release is meant for machines that were this holder's when it was sent.
+                // A release is meant for machines that were this leader's when it was sent.
                 releases += e.machines.size
                 if (!cloudDown) e.machines.forEach { workers.remove(it); booting.remove(it) }
                 val ok = !cloudDown
@@ -311,9 +311,9 @@
         val sentAt = now
         // A report that is held back arrives late, at whoever holds the term by then.
         val delay = if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency()
-        if (lateReports > 0 && random.nextInt(100) < lateReports) at(2_000L + random.nextInt(2 * setup.workerLeaseMs.toInt())) { holder?.run { hello(report, now) } }
+        if (lateReports > 0 && random.nextInt(100) < lateReports) at(2_000L + random.nextInt(2 * setup.workerLeaseMs.toInt())) { leader?.run { hello(report, now) } }
         at(delay) {
-            val core = (homes[w.name]?.takeIf { it.alive } ?: holder)?.takeIf { it.alive && it.reachable } ?: return@at
+            val core = (homes[w.name]?.takeIf { it.alive } ?: leader)?.takeIf { it.alive && it.reachable } ?: return@at
             homes[w.name] = core
             core.run {
                 val answer = hello(report, now)
@@ -342,12 +342,12 @@
                 if (now >= (nextReportAt[w.name] ?: now)) hello(w)
             }
             gangs.step(workers.values, now)
-            if (now % 3000 == 0L) holder?.takeIf { it.alive && !cloudDown }?.let(::list)
+            if (now % 3000 == 0L) leader?.takeIf { it.alive && !cloudDown }?.let(::list)
             check()
         }
     }
 
-    /** What the holder adds up as it goes along must be what a recount gives. */
+    /** What the leader adds up as it goes along must be what a recount gives. */
     private fun recount(s: ClusterState) {
         val placements = s.machines.flatMap { it.placements.values }
         for (team in s.cluster.teams.indices) {
@@ -363,12 +363,12 @@
 
     /** The rules, as the protocol states them. */
     private fun check() {
-        if (now % 1000 == 0L) holder?.let { recount(it.holder.state) }
+        if (now % 1000 == 0L) leader?.let { recount(it.leader.state) }
         watch.check(workers.values, now)
-        if (now % 1000 == 0L) holder?.takeIf { it.alive && it.reachable && now >= it.frozenUntil }?.holder?.starved(now)?.forEach { (group, t) ->
+        if (now % 1000 == 0L) leader?.takeIf { it.alive && it.reachable && now >= it.frozenUntil }?.leader?.starved(now)?.forEach { (group, t) ->
             watch.note(now, "starved: of $group only ${t.started} of ${t.accepted} jobs were started beside free machines")
         }
-        holder?.takeIf { it.alive && it.reachable }?.holder?.stalled(now)?.filter { it.obstacle == Obstacle.NONE }?.forEach { broken += "$now $it" }
+        leader?.takeIf { it.alive && it.reachable }?.leader?.stalled(now)?.filter { it.obstacle == Obstacle.NONE }?.forEach { broken += "$now $it" }
     }
 
     companion object {
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -136,7 +136,7 @@
     }
 
     /**
-     * Joins the next transaction that has room. The lease condition of a holder is shared by all its writes. Writes of one rank take turns by [lane] (a
+     * Joins the next transaction that has room. The lease condition of a leader is shared by all its writes. Writes of one rank take turns by [lane] (a
      * team): many jobs of one team that end together do not keep the others' users waiting for their answers.
      */
     suspend fun commit(conditions: List<Condition>, writes: List<Write>, rank: WriteRank = WriteRank.OTHER, lane: String = ""): WriteOutcome {
--- a/src/main/kotlin/org/honeyjunction/nomad/Fields.kt
+++ b/src/main/kotlin/org/honeyjunction/nomad/Fields.kt
@@ -114,7 +114,7 @@
     private val update = schema("update") {
         differs("max_parallel", "MaxParallel", Form.Number, "tasks that are replaced at a time; even where spread is asked for, so at least 2; 0: all at once")
         differs("min_healthy_time", "MinHealthyTime", Form.Duration, "how long all of a batch must run before the next")
-        differs("healthy_deadline", "HealthyDeadline", Form.Duration, "after which a batch that does not run has failed; counted anew by a new holder")
+        differs("healthy_deadline", "HealthyDeadline", Form.Duration, "after which a batch that does not run has failed; counted anew by a new leader")
         reported("progress_deadline", "ProgressDeadline", Form.Duration, "healthy_deadline ends a batch")
         mapped("auto_revert", "AutoRevert", Form.Flag)
         refused("auto_promote", "AutoPromote", Form.Flag, "there are no canaries")
--- a/src/main/kotlin/org/honeyjunction/nomad/registry/Head.kt
+++ b/src/main/kotlin/org/honeyjunction/nomad/registry/Head.kt
@@ -69,7 +69,7 @@
     fun overlaps(o: Piece) = group == o.group && from < o.from + o.size && o.from < from + size
 }
 
-/** The durable record of a registered job: what a new holder goes on from. [born] tells it from others that had its name. */
+/** The durable record of a registered job: what a new leader goes on from. [born] tells it from others that had its name. */
 data class Head(
     val namespace: String,
     val id: String,
@@ -113,7 +113,7 @@
     companion object {
         private val range = BigInteger.TEN.pow(18)
 
-        /** The same for every holder, so that what one has begun the next one finds. */
+        /** The same for every leader, so that what one has begun the next one finds. */
         fun nativeId(name: String): String = "j-" + BigInteger(1, JobDocument.hash(name).toByteArray()).mod(range).toString().padStart(18, '0')
     }
 }
--- a/src/main/kotlin/org/honeyjunction/nomad/registry/Rollout.kt
+++ b/src/main/kotlin/org/honeyjunction/nomad/registry/Rollout.kt
@@ -8,12 +8,12 @@
 import org.honeyjunction.nomad.registry.VersionState.STOPPED
 import org.honeyjunction.nomad.registry.VersionState.SUPERSEDED
 
-/** How things stand with a native job, as the holder of the term knows it. */
+/** How things stand with a native job, as the leader knows it. */
 sealed interface Fact {
     /** No record of it: it was never submitted, or nobody knows yet. */
     data object Absent : Fact
 
-    /** [running]: tasks that run; [started]: one was, or may be, on a machine since this holder knows of it. */
+    /** [running]: tasks that run; [started]: one was, or may be, on a machine since this leader knows of it. */
     data class Active(val running: Int, val started: Boolean) : Fact
 
     /** [gone]: on evidence, no task of it is on any machine. */
@@ -38,7 +38,7 @@
     data object Delete : Action
 }
 
-/** Since when pieces run, or wait to run, as this holder saw it: a new holder counts anew, which only takes longer. */
+/** Since when pieces run, or wait to run, as this leader saw it: a new leader counts anew, which only takes longer. */
 class Watched {
     private val since = HashMap<String, Long>()
     private val healthySince = HashMap<String, Long>()
@@ -59,8 +59,8 @@
 }
 
 /**
- * What the holder does next for a registered job. It goes by the durable head and by facts alone, so it does not matter how
- * far an earlier holder came. Rules of thumb: a later version's piece is submitted only when every task in its place is gone
+ * What the leader does next for a registered job. It goes by the durable head and by facts alone, so it does not matter how
+ * far an earlier leader came. Rules of thumb: a later version's piece is submitted only when every task in its place is gone
  * on evidence; no more is stopped at a time than one piece of a group; what an older head decided can't be written any more.
  */
 class Rollout(private val head: Head, private val fact: (Piece) -> Fact, private val pace: (group: String) -> Pace, private val watched: Watched, private val now: Long) {
--- a/src/main/kotlin/org/honeyjunction/standin/Fault.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Fault.kt
@@ -2,7 +2,7 @@
 
 import java.util.Random
 
-/** A trouble on request: `at 8s kill holder`, `at 3s state outage for 4s`, `at 5s cut machine for 6s`. Times in milliseconds. */
+/** A trouble on request: `at 8s kill leader`, `at 3s state outage for 4s`, `at 5s cut machine for 6s`. Times in milliseconds. */
 data class Fault(val atMs: Long, val what: What, val whom: Whom, val forMs: Long) {
     enum class What {
         KILL, HANG, CUT, REFUSE, NOTICE, OUTAGE,
@@ -30,7 +30,7 @@
     }
 
     sealed interface Whom {
-        data object Holder : Whom
+        data object Leader : Whom
 
         data object AllNodes : Whom
 
@@ -65,7 +65,7 @@
     /** As it is written. */
     override fun toString(): String {
         val target = when (whom) {
-            Whom.Holder -> "holder"
+            Whom.Leader -> "leader"
             Whom.AllNodes -> "all"
             is Whom.Node -> "node ${whom.number}"
             Whom.Machine -> "machine"
@@ -79,15 +79,18 @@
     }
 
     companion object {
-        const val FORM = "at <seconds>s (kill|hang|refuse|isolate) (holder|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice|deafen) (machine|<n> machines|zone <name>) [for <seconds>s], " +
+        const val FORM = "at <seconds>s (kill|hang|refuse|isolate) (leader|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice|deafen) (machine|<n> machines|zone <name>) [for <seconds>s], " +
             "at <seconds>s (state|cloud) outage [for <seconds>s], at <seconds>s (slow|lose) boots [for <seconds>s], or at <seconds>s (storm polls|delay writes|repeat reports) [for <seconds>s]"
         const val SHARE = 0.4
+
+        /** What a leader was called before, and may still be. */
+        private const val FORMER = "holder"
         const val SLOW_BOOTS = 4.0
         const val LOST_BOOTS_ONE_IN = 4
         const val STORM_POLLS = 10
         private const val DEFAULT_MS = 4_000L
         private const val MAX_S = 3_600.0
-        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|isolate|notice|deafen|state|cloud|slow|lose|storm|delay|repeat) (holder|all|machine|outage|boots|polls|writes|reports|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
+        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|isolate|notice|deafen|state|cloud|slow|lose|storm|delay|repeat) (leader|holder|all|machine|outage|boots|polls|writes|reports|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
 
         /** Throws with what is wrong with [text]. */
         fun parse(text: String): Fault {
@@ -96,7 +99,7 @@
             val whom = when {
                 verb == "state" && target == "outage" -> Whom.State
                 verb == "cloud" && target == "outage" -> Whom.Cloud
-                target == "holder" -> Whom.Holder
+                target == "leader" || target == FORMER -> Whom.Leader
                 target == "all" -> Whom.AllNodes
                 target == "machine" -> Whom.Machine
                 target == "boots" -> Whom.Boots
@@ -123,7 +126,7 @@
             return Fault(millis(at, text), what, whom, if (length.isEmpty()) DEFAULT_MS else millis(length, text))
         }
 
-        private fun ofNodes(whom: Whom) = whom == Whom.Holder || whom == Whom.AllNodes || whom is Whom.Node
+        private fun ofNodes(whom: Whom) = whom == Whom.Leader || whom == Whom.AllNodes || whom is Whom.Node
 
         private fun ofMachines(whom: Whom) = whom == Whom.Machine || whom is Whom.Machines || whom is Whom.Zone
 
@@ -141,6 +144,6 @@
         Fault.Whom.Machine -> there.filter { w -> w.tasks.values.any { it.live } }.shuffled(random).take(1)
         is Fault.Whom.Machines -> there.shuffled(random).sortedByDescending { w -> w.tasks.values.any { it.live } }.take(whom.count)
         is Fault.Whom.Zone -> there.filter { it.box.zone == whom.name }
-        Fault.Whom.Holder, Fault.Whom.AllNodes, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> emptyList()
+        Fault.Whom.Leader, Fault.Whom.AllNodes, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> emptyList()
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -83,7 +83,7 @@
     }
 
     /** The node that holds the term, by the state service. */
-    fun holder(): Int? = store[LEAD]?.value?.given("holder")?.let { h -> nodes.indexOfFirst { it.first == h.textValue() }.takeIf { it >= 0 } }
+    fun leader(): Int? = store[LEAD]?.value?.given("holder")?.let { h -> nodes.indexOfFirst { it.first == h.textValue() }.takeIf { it >= 0 } }
 
     fun term(): Long = store[TERM]?.value?.given(TERM)?.longValue() ?: 0
 
--- a/src/main/kotlin/org/honeyjunction/wire/ExplainCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/ExplainCodec.kt
@@ -31,7 +31,7 @@
             val machine = t.textOrNull("machine")
             lines += "${t.text("task")}  " + when {
                 machine == null -> "waits (rules version ${t.count("rules_version")})"
-                t.given("decided_s_ago") == null -> "is on $machine; another holder placed it, so the rules are told as they hold now (version ${t.count("rules_version")})"
+                t.given("decided_s_ago") == null -> "is on $machine; another leader placed it, so the rules are told as they hold now (version ${t.count("rules_version")})"
                 else -> "was placed on $machine ${t.amount("decided_s_ago")} s ago by rules version ${t.count("rules_version")}"
             }
             t.listOrEmpty("waits").forEach { lines += "    ${it.textValue()}" }
--- a/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/PeerCodec.kt
@@ -29,18 +29,18 @@
     ) : PeerMessage
 
     /**
-     * [certain]: the holder is sure of its term, so the state service answers it; [plan]: whose jobs the asking node may let in;
+     * [certain]: the leader is sure of its term, so the state service answers it; [plan]: whose jobs the asking node may let in;
      * [writesPerS]: its share of the state service's changes.
      */
     class Told(val term: Long, val certain: Boolean, val plan: Plan, val writesPerS: Double, val summary: Summary) : PeerMessage
 
-    data class NotHolder(val term: Long) : PeerMessage
+    data class NotLeader(val term: Long) : PeerMessage
 
     data class Propose(val term: Long, val proposals: List<Proposal>) : PeerMessage
 
     data class Accepted(val count: Int) : PeerMessage
 
-    /** A user's request that only the holder can answer. */
+    /** A user's request that only the leader can answer. */
     class Forward(val method: String, val path: String, val body: ByteArray) : PeerMessage
 
     class Answer(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerMessage
@@ -54,7 +54,7 @@
     /** The latest term that is known, who leads it (may be empty), and for how long this controller has been up. */
     data class Vouched(val term: Long, val leader: String, val upMs: Long) : PeerMessage
 
-    /** What the holder is sure of; a job that it does not name must be looked up in its record. */
+    /** What the leader is sure of; a job that it does not name must be looked up in its record. */
     class Stages(val jobs: Map<String, JobStatus>) : PeerMessage
 }
 
@@ -63,7 +63,7 @@
     const val MAX_FRAME = 1024 * 1024L
     private const val ASK = 1
     private const val TOLD = 2
-    private const val NOT_HOLDER = 3
+    private const val NOT_LEADER = 3
     private const val PROPOSE = 4
     private const val ACCEPTED = 5
     private const val FORWARD = 6
@@ -79,7 +79,7 @@
             is PeerMessage.Ask -> body.writeByte(ASK).text(m.node).writeLong(m.term).writeInt(m.workersHeard).writeInt(m.writesQueued)
                 .all(m.asked) { flow(it.flow).flag(it.urgent).amount(it.perS) }.epoch(m.plan).amount(m.grantedPerS)
             is PeerMessage.Told -> body.writeByte(TOLD).writeLong(m.term).flag(m.certain).plan(m.plan).amount(m.writesPerS).summary(m.summary)
-            is PeerMessage.NotHolder -> body.writeByte(NOT_HOLDER).writeLong(m.term)
+            is PeerMessage.NotLeader -> body.writeByte(NOT_LEADER).writeLong(m.term)
             is PeerMessage.Propose -> body.writeByte(PROPOSE).writeLong(m.term).all(m.proposals) {
                 writeInt(it.job).writeInt(it.task).writeInt(it.machine)
             }
@@ -114,7 +114,7 @@
     private fun read(b: Buffer): PeerMessage = when (val kind = b.readByte().toInt()) {
         ASK -> PeerMessage.Ask(b.text(), b.readLong(), b.readInt(), b.readInt(), b.all { Asked(flow(), flag(), amount()) }, b.epoch(), b.amount())
         TOLD -> PeerMessage.Told(b.readLong(), b.flag(), b.plan(), b.amount(), b.summary())
-        NOT_HOLDER -> PeerMessage.NotHolder(b.readLong())
+        NOT_LEADER -> PeerMessage.NotLeader(b.readLong())
         PROPOSE -> PeerMessage.Propose(b.readLong(), b.all { Proposal(readInt(), readInt(), readInt()) })
         ACCEPTED -> PeerMessage.Accepted(b.readInt())
         FORWARD -> PeerMessage.Forward(b.text(), b.text(), b.bytes())
--- a/src/main/kotlin/org/honeyjunction/wire/WorkerCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/WorkerCodec.kt
@@ -41,7 +41,7 @@
     fun answer(token: Long, commands: List<Command>): ByteArray =
         Json.write(Json.obj().put("Crown", token).apply { set<JsonNode>("Dances", write(commands)) })
 
-    fun redirect(holder: String?): ByteArray = Json.write(Json.obj().apply { holder?.let { put("Queen", it) } })
+    fun redirect(leader: String?): ByteArray = Json.write(Json.obj().apply { leader?.let { put("Queen", it) } })
 
     fun commands(token: Long, session: Long, commands: List<Command>): ByteArray =
         Json.write(
--- a/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/LocalClusterTest.kt
@@ -55,7 +55,7 @@
     }
 
     @Test
-    fun `the holder is killed while rules are obeyed, and placements are explained as the stand-ins saw them`() {
+    fun `the leader is killed while rules are obeyed, and placements are explained as the stand-ins saw them`() {
         val planned = jobs("""{"jobs":[${job(0.0, "q")},${job(0.0, "b")},${job(2.0, "g", "gang", 2, 2)},${job(4.0, "q")}]}""")
         val rules = RulesDocument(
             """rule "apart" for class "q" { must not machine runs class "b" }
@@ -63,7 +63,7 @@
             rule "together" for kind gang { prefer same zone weight 9 }""", null,
         )
         using(LocalCluster(settings(), 3, Tuning(idleMs = 6_000, rules = true), 1, planned, {})) { cluster ->
-            run(cluster, planned, listOf(Fault.parse("at 3s kill holder for 2s"))) { cluster.apply(rules) }
+            run(cluster, planned, listOf(Fault.parse("at 3s kill leader for 2s"))) { cluster.apply(rules) }
             val compared = cluster.compareExplanations()
             assertEquals(emptyList<String>(), compared.differences)
             assertTrue(compared.told > 0, "${compared.told} told, ${compared.gone} gone")
@@ -71,21 +71,21 @@
     }
 
     @Test
-    fun `users ask ten times at once while the holder stands still and is lost - nobody hears less than before, and late submissions are taken`() {
+    fun `users ask ten times at once while the leader stands still and is lost - nobody hears less than before, and late submissions are taken`() {
         val planned = jobs("""{"jobs":[${List(12) { job(it * 0.4, "q", tasks = 2) }.joinToString()}]}""")
         using(LocalCluster(settings(), 3, Tuning(idleMs = 6_000), 4, planned, {})) { cluster ->
-            run(cluster, planned, listOf("at 0s storm polls for 30s", "at 1.5s hang holder for 7s", "at 4s kill holder for 2s", "at 2s slow boots for 3s").map(Fault::parse))
+            run(cluster, planned, listOf("at 0s storm polls for 30s", "at 1.5s hang leader for 7s", "at 4s kill leader for 2s", "at 2s slow boots for 3s").map(Fault::parse))
         }
     }
 
     @Test
-    fun `more jobs than can be recorded - each is let in, done, and never told less after the holder was lost, and what was recorded in place is moved`() {
+    fun `more jobs than can be recorded - each is let in, done, and never told less after the leader was lost, and what was recorded in place is moved`() {
         val planned = jobs("""{"jobs":[${List(60) { job(it * 0.05, "q", tasks = 1) }.joinToString()}]}""")
         val scarce = settings { o -> (o.get("state") as ObjectNode).put("write_rps", 20.0) }
         using(LocalCluster(scarce, 3, Tuning(idleMs = 6_000), 5, planned, {})) { cluster ->
             val store = cluster.loopback.store
             var inPlace = 0
-            run(cluster, planned, listOf("at 6s kill holder for 2s", "at 8s state outage for 3s").map(Fault::parse), withinS = 90) {
+            run(cluster, planned, listOf("at 6s kill leader for 2s", "at 8s state outage for 3s").map(Fault::parse), withinS = 90) {
                 thread(isDaemon = true) {
                     while (cluster.loopback.now() < 60_000) {
                         inPlace = maxOf(inPlace, runBlocking { cluster.loopback.loop.scope.async { finalsInPlace(store) }.await() })
@@ -147,8 +147,8 @@
     @Test
     fun `a loop that meets an exception nobody expected is started anew, and the work gets done`() {
         val loops = listOf(
-            "HolderDriver" to "tickAll", "HolderDriver" to "listAll", "HolderDriver" to "followJobs", "Node" to "takePart", "Node" to "placeOwn",
-            "Node" to "keepTypes", "RulesKeeper" to "follow", "HolderDriver" to "send",
+            "LeaderDriver" to "tickAll", "LeaderDriver" to "listAll", "LeaderDriver" to "followJobs", "Node" to "takePart", "Node" to "placeOwn",
+            "Node" to "keepTypes", "RulesKeeper" to "follow", "LeaderDriver" to "send",
         )
         val failures = java.util.concurrent.ConcurrentHashMap<String, Throwable>()
         loops.map { (owner, method) ->
--- a/src/test/kotlin/org/honeyjunction/app/NomadClusterTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/NomadClusterTest.kt
@@ -61,8 +61,8 @@
         }
         val cluster = cluster()
         try {
-            // The holder goes while the job is being registered.
-            cluster.start(listOf(Fault.parse("at 2s kill holder")))
+            // The leader goes while the job is being registered.
+            cluster.start(listOf(Fault.parse("at 2s kill leader")))
             val jobs = RegisteredJobs(cluster, listOf(file.document)) {}
             jobs.register()
             assertTrue(jobs.until("spread-backtest", 90) { it.path("Status").asText() == "dead" }, "not done")
@@ -103,7 +103,7 @@
                     least = minOf(least, now.size)
                     if (!killed && "quotes/serve:8" in now) {
                         killed = true
-                        cluster.loopback.holder()?.let { h ->
+                        cluster.loopback.leader()?.let { h ->
                             cluster.controllers.kill(h)
                             cluster.controllers.start(h)
                         }
--- a/src/test/kotlin/org/honeyjunction/app/NomadTimes.kt
+++ b/src/test/kotlin/org/honeyjunction/app/NomadTimes.kt
@@ -46,8 +46,8 @@
             println("until the last of them is live: ${ms { assertTrue(live("s999", 0)) }} ms")
             val list = { Json.read(OperatorClient(cluster.nomad).ask("GET", "/v1/jobs").body) }
             println("a list of ${list().size()} jobs: ${ms { list() }} ms")
-            cluster.loopback.holder()?.let { cluster.controllers.kill(it) }
-            println("allocations after the holder was killed: ${ms { while (jobs.get("wide", rest = "/allocations") == null) Thread.sleep(20) }} ms")
+            cluster.loopback.leader()?.let { cluster.controllers.kill(it) }
+            println("allocations after the leader was killed: ${ms { while (jobs.get("wide", rest = "/allocations") == null) Thread.sleep(20) }} ms")
             assertEquals(emptyList<Any>(), cluster.loopback.watch.broken)
         } finally {
             cluster.close()
--- a/src/test/kotlin/org/honeyjunction/app/SearchTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SearchTest.kt
@@ -1,32 +1,70 @@
 package org.honeyjunction.app
 
 import org.honeyjunction.app.local.LocalSettings
+import org.honeyjunction.app.local.Played
 import org.honeyjunction.app.local.Search
 import org.honeyjunction.app.local.VirtualCluster
 import org.honeyjunction.core.control.Tuning
+import org.honeyjunction.standin.Fault
 import org.honeyjunction.wire.Json
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 
-/** Whole controllers in virtual time: several at once, with users, and troubles that meet. */
+/** Whole controllers in virtual time: several at once, with users, and troubles that meet. `local --virtual --controllers N --search D` plays more. */
 class SearchTest {
     private val settings = LocalSettings(Json.readObject(javaClass.classLoader.getResource("local/settings.json")!!.readBytes()), null, 10)
-    private val tuning = Tuning(idleMs = 6_000, forecastMs = 20_000)
-    private val cluster = VirtualCluster(settings, 3, tuning)
-    private fun search() = Search(cluster, 3, listOf("rambla", "ciudad-vieja"), listOf("blend-team", "desk"))
+    private fun cluster(controllers: Int) = VirtualCluster(settings, controllers, Tuning(idleMs = 6_000, forecastMs = 20_000))
+    private fun search(controllers: Int) = Search(cluster(controllers), controllers, settings.zoneNames, settings.teamNames)
 
-    @Test
-    fun `days with troubles that meet, by seed`() {
-        val search = search()
-        val from = System.getProperty("from")?.toLong() ?: 1
-        val days = System.getProperty("days")?.toLong() ?: 20
-        val found = (from until from + days).mapNotNull { seed ->
-            val day = search.draw(seed)
-            val began = System.nanoTime()
-            val played = cluster.play(day)
-            println("$seed: ${(System.nanoTime() - began) / 1_000_000} ms, virtual ${played.virtualMs}, ${played.terms} terms, ${played.cancelled} cancelled, ${played.starts} starts; ${played.broken} ${played.unserved} ${day.faults}")
-            if (played.good) null else "$seed ${played.why}"
+    private fun play(controllers: Int, seeds: LongRange, faults: List<Fault> = emptyList()): List<Played> {
+        val cluster = cluster(controllers)
+        val days = search(controllers).let { s -> seeds.map { s.draw(it, faults) } }
+        val threads = Executors.newFixedThreadPool(4)
+        try {
+            val played = threads.invokeAll(days.map { Callable { cluster.play(it) } }).map { it.get() }
+            assertEquals(emptyList<String>(), days.zip(played).filter { !it.second.good }.map { (day, p) -> "seed ${day.seed}: ${p.broken} ${p.unserved} ${day.faults}" })
+            return played
+        } finally {
+            threads.shutdownNow()
         }
-        assertEquals(emptyList<String>(), found)
+    }
+
+    @ParameterizedTest
+    @CsvSource("3, 1, 140", "5, 1001, 1060")
+    fun `days with troubles that meet, by seed`(controllers: Int, from: Long, to: Long) {
+        val played = play(controllers, from..to)
+        // What is drawn must bring about what it is for.
+        assertTrue(played.sumOf { it.terms } > played.size * 1.4, "terms ${played.sumOf { it.terms }}")
+        assertTrue(played.sumOf { it.cancelled } > played.size && played.sumOf { it.lateWrites } > played.size / 4)
+    }
+
+    /** The meetings that operators named, each on a few days of its own. */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(delimiter = '|', value = [
+        "refused alone, then nobody is answered for longer than a cancellation may take | at 9s refuse leader for 30s, at 17s state outage for 40s",
+        "cut off with its workers while jobs are cancelled elsewhere | at 9s isolate leader for 60s, at 17s state outage for 30s",
+        "writes carried out late, and their writer is gone | at 8s delay writes for 25s, at 10s kill leader for 1s, at 17s kill leader for 1s",
+        "small jobs whose ends lie apart over two changes of leader | at 8s kill leader for 9s, at 16s kill leader for 9s, at 16s repeat reports for 40s",
+        "handed over and back, all end, one returns at once | at 9s kill leader for 0.6s, at 15s kill all for 0.5s, at 15.8s kill node 0 for 9s, at 15.8s kill node 1 for 9s",
+        "a leader ends while machines are deaf | at 9s deafen 6 machines for 14s, at 10s kill leader for 9s",
+        "a leader ends while machines can't be reached | at 9s cut 6 machines for 14s, at 10s kill leader for 9s, at 20s hang 3 machines for 5s",
+        "commands held up while their leader stands still | at 9s hang 4 machines for 5s, at 9.2s hang leader for 7s, at 12s cut 2 machines for 5s",
+        "old reports after newer ones, of earlier sessions | at 7s repeat reports for 60s, at 9s cut 4 machines for 9s, at 19s kill leader for 2s",
+    ])
+    fun `the meetings that operators named`(case: String, faults: String) {
+        play(3, 501L..512, faults.split(',').map { Fault.parse(it) })
+    }
+
+    @Test
+    fun `one seed plays one way`() {
+        val cluster = cluster(3)
+        val day = search(3).draw(14)
+        fun told(p: Played) = listOf(p.broken, p.unserved, p.terms, p.cancelled, p.lateWrites, p.starts, p.virtualMs)
+        assertEquals(told(cluster.play(day)), told(cluster.play(search(3).draw(14))))
     }
 }
--- a/src/test/kotlin/org/honeyjunction/core/BootTimesTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/BootTimesTest.kt
@@ -36,7 +36,7 @@
     }
 
     @Test
-    fun `a later holder knows about what was seen, and a bad night is forgotten`() {
+    fun `a later leader knows about what was seen, and a bad night is forgotten`() {
         val boots = BootTimes(windowMs = 60_000)
         (0L until 30).forEach { boots.up(kind, it * 1000, it * 1000 + 120_000) }
         val mark = boots.marks { "t" to "z" }.single()
--- a/src/test/kotlin/org/honeyjunction/core/DeskTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/DeskTest.kt
@@ -34,7 +34,7 @@
         assertEquals(0.0, desk.pressure(400))
     }
 
-    /** Three nodes whose users ask for one job after the other; the holder's and the records' answers are slow, lost, or from a while ago when they arrive. */
+    /** Three nodes whose users ask for one job after the other; the leader's and the records' answers are slow, lost, or from a while ago when they arrive. */
     private fun stale(seed: Long, joinsOnTheWay: Boolean): Int {
         class Poll(val at: Long, val node: Int, val job: Int)
         class Event(val at: Long, val act: (Long) -> Unit)
--- a/src/test/kotlin/org/honeyjunction/core/ProgressTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/ProgressTest.kt
@@ -37,7 +37,7 @@
 
     private fun summary(rooms: List<Room>, rows: List<Row>) = Summary(rooms, listOf(TeamShare(1.0, 3), TeamShare(2.0, 0)), rooms.size, rows)
 
-    /** What the holder would do with [proposals]; fails on any that does not fit. */
+    /** What the leader would do with [proposals]; fails on any that does not fit. */
     private fun applied(rooms: List<Room>, rows: List<Row>, proposals: List<Proposal>): Pair<List<Room>, List<Row>> {
         val byTask = rows.associateBy { it.job to it.task }
         val free = rooms.associateTo(HashMap()) { it.machine to it.free }
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -5,7 +5,7 @@
 import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
-import org.honeyjunction.core.control.Holder
+import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.MachineHint
 import org.honeyjunction.core.control.PageRecord
 import org.honeyjunction.core.control.RecordedStart
@@ -45,7 +45,7 @@
     private val hint = MachineHint("vm-1", "10.1.0.1:1", "t4", "x", false, 1, mapOf("i" to 5.0))
     private val page = PageRecord(2, 9, listOf(RecordedStart("j-1", 0, 77, "vm-1")), mapOf("j-7" to BitSet().apply { set(0); set(5) }))
 
-    private fun holder() = Holder(
+    private fun leader() = Leader(
         Setup().cluster(), Tuning(), term, "n",
         Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), listOf(page), listOf(hint)), 0, 0, 4000,
     ).also { it.leaseUntil(Long.MAX_VALUE, 0) }
@@ -53,7 +53,7 @@
     private fun report(session: Long, sequence: Long, withToken: Long, vararg tasks: ReportedTask) =
         Report("vm-1", "10.1.0.1:1", "t4", "x", false, session, sequence, withToken, null, tasks.asList())
 
-    private fun Holder.places() = state.job("j-1")!!.tasks[0].placements
+    private fun Leader.places() = state.job("j-1")!!.tasks[0].placements
 
     @Test
     fun `what is recorded survives the state service, images too`() {
@@ -61,13 +61,13 @@
         val read = StateCodec.page(2, 9, stored)
         assertEquals(listOf(page.starts, page.done, 4L), listOf(read.starts, read.done, StateCodec.pageWrite(stored)))
         assertEquals(listOf(hint), StateCodec.hints(Json.read(Json.write(StateCodec.hints(listOf(hint))))))
-        val h = holder()
+        val h = leader()
         assertEquals(setOf(h.state.cluster.images.index("i")), h.state.machine("vm-1")!!.images.keys.toSet())
     }
 
     @Test
     fun `the image of a task found running is known to be cached`() {
-        val h = holder()
+        val h = leader()
         h.state.machine("vm-1")!!.images.clear()
         h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
         assertEquals(1, h.state.machine("vm-1")!!.images.size)
@@ -82,7 +82,7 @@
         "a report of an older session is ignored,                0, 1, false, 1",
     )
     fun `a task named by a record`(name: String, session: Long, acked: Int, lists: Boolean, left: Int) {
-        val h = holder()
+        val h = leader()
         assertEquals(Phase.UNHEARD, h.places().single().phase)
         val tasks = if (lists) arrayOf(ReportedTask("j-1", 0, 77, TaskState.Running)) else emptyArray()
         h.hello(report(session, 5, token * acked, *tasks), 10)
@@ -90,22 +90,22 @@
     }
 
     @Test
-    fun `a worker that has seen a higher term ends the holder's part`() {
-        val h = holder()
+    fun `a worker that has seen a higher term ends the leader's part`() {
+        val h = leader()
         assertNull(h.hello(report(1, 5, (term + 1) shl 24), 10))
         assertTrue(h.drain().any { it is Effect.StepDown })
     }
 
     @Test
     fun `time is no evidence at a worker that has not shown this term`() {
-        val h = holder()
+        val h = leader()
         h.tick(Setup().workerLeaseMs * 10)
         assertEquals(1, h.places().size)
     }
 
     @Test
     fun `nor at one that was answered, but shows no token of this term`() {
-        val h = holder()
+        val h = leader()
         h.hello(report(1, 5, 0, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
         h.tick(10 + Setup().workerLeaseMs + 1000)
         assertEquals(1, h.places().size)
@@ -113,7 +113,7 @@
 
     @Test
     fun `a lease that ended at a worker that knows this term is evidence, to the millisecond not before`() {
-        val h = holder()
+        val h = leader()
         h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
         h.tick(10 + Setup().workerLeaseMs)
         assertEquals(1, h.places().size)
@@ -126,11 +126,11 @@
         // Its lease is over after 12 s; a replacement would boot for 5 s and fetch its image for 5 s.
         "waited for as long as a replacement would take,       true,  9999999, 21, 0",
         "a silent machine is released while others are heard,  true,  9999999, 24, 1",
-        "not by a holder that hears nobody,                    false, 9999999, 60, 0",
+        "not by a leader that hears nobody,                    false, 9999999, 60, 0",
         "nor by one whose term may be over,                    true,  1000,    60, 0",
     )
     fun `a machine past its lease`(name: String, othersHeard: Boolean, leaseUntil: Long, seconds: Long, released: Int) {
-        val h = holder()
+        val h = leader()
         h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
         h.leaseUntil(leaseUntil, 10)
         for (i in 1L..seconds) {
@@ -143,13 +143,13 @@
     @ParameterizedTest(name = "{0}, for {3} s")
     @CsvSource(
         // The first caches an image that a replacement would fetch for 5 s, the second nothing.
-        "left by an earlier holder,                     vm-1, false, 21, 0",
-        "left by an earlier holder,                     vm-1, false, 24, 1",
+        "left by an earlier leader,                     vm-1, false, 21, 0",
+        "left by an earlier leader,                     vm-1, false, 24, 1",
         "named only by a word that was held back,       vm-3, true,  16, 0",
         "named only by a word that was held back,       vm-3, true,  20, 1",
     )
     fun `a machine that was not heard under this term is waited for, and not for ever`(case: String, machine: String, word: Boolean, seconds: Long, released: Int) {
-        val h = holder()
+        val h = leader()
         if (word) h.hello(report(1, 5, 0).copy(machine = machine), 10)
         for (i in 1L..seconds) {
             h.hello(report(1, i, token).copy(machine = "vm-2"), i * 1000)
@@ -160,8 +160,8 @@
     }
 
     @Test
-    fun `the image of a task that an earlier holder started is known after its end`() {
-        val h = holder()
+    fun `the image of a task that an earlier leader started is known after its end`() {
+        val h = leader()
         h.hello(report(1, 5, token), 10)
         assertEquals(emptyList<Any>(), h.places())
         assertEquals(1, h.state.machine("vm-1")!!.images.size)
@@ -169,7 +169,7 @@
 
     @Test
     fun `a job that is over is written once, however often its end is reported`() {
-        val h = holder()
+        val h = leader()
         for (i in 0 until 5) {
             val ended = Array(2) { ReportedTask("j-1", it, 77, TaskState.Ended(Cause.DONE, false)) }
             h.hello(report(1, 5L + i, token, *ended), 10L + i)
@@ -181,7 +181,7 @@
 
     @Test
     fun `nothing is started once the lease of the term may be over`() {
-        val h = holder()
+        val h = leader()
         h.hello(report(1, 5, token), 10)
         h.leaseUntil(20, 10)
         h.tick(600)
@@ -192,11 +192,11 @@
         assertEquals(2, h.drain().filterIsInstance<Effect.Send>().sumOf { it.commands.size })
     }
 
-    /** Guards the one door: whatever a woken holder hears first, it acts on none of it before the state service has spoken. */
+    /** Guards the one door: whatever a woken leader hears first, it acts on none of it before the state service has spoken. */
     @ParameterizedTest(name = "{0}")
     @CsvSource("a report comes first", "its clockwork comes first", "a write is answered first", "a command is answered first", "a cancellation comes first", "a peer proposes first")
-    fun `a holder that wakes past its lease keeps workers' leases alive, stops and does nothing else`(first: String) {
-        val h = holder()
+    fun `a leader that wakes past its lease keeps workers' leases alive, stops and does nothing else`(first: String) {
+        val h = leader()
         h.hello(report(1, 5, token), 10)
         h.hello(report(1, 6, token).copy(machine = "vm-2"), 10)
         for (t in 100L..1_000L step 100) h.tick(t)
@@ -227,7 +227,7 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource("within the lease, 9999999", "past the lease, 3000", "woken past the lease, 3000")
     fun `what was cancelled is told to stop in any state of the leader`(state: String, leaseUntil: Long) {
-        val h = holder()
+        val h = leader()
         h.leaseUntil(leaseUntil, 0)
         h.hello(report(1, 5, token, ReportedTask("j-1", 0, 77, TaskState.Running)), 10)
         h.cancel("j-1", 20)
@@ -249,7 +249,7 @@
     /** A leader whose proof has ended hears workers, and answers none until there is one again; see RenewalBoundTest. */
     @Test
     fun `workers are answered only while nobody can have cancelled unnoticed`() {
-        val h = Holder(
+        val h = Leader(
             Setup().cluster(), Tuning(), term, "n",
             Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), listOf(page), listOf(hint)), 0, 0, 4000, others = listOf("m"),
         ).also { it.leaseUntil(5_000, 0) }
@@ -269,7 +269,7 @@
     @Test
     fun `a new leader brings its token to machines that may have tasks`() {
         val unknown = hint.copy(name = "vm-2", session = 0)
-        val h = Holder(
+        val h = Leader(
             Setup().cluster(), Tuning(), term, "n",
             Recovered(listOf(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE)), listOf(page), listOf(hint, unknown)), 0, 0, 4000,
         ).also { it.leaseUntil(5_000, 0) }
--- a/src/test/kotlin/org/honeyjunction/core/ServedTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/ServedTest.kt
@@ -67,7 +67,7 @@
     }
 
     @Test
-    fun `what a later holder is told is read as it was written, and fits into the smallest value`() {
+    fun `what a later leader is told is read as it was written, and fits into the smallest value`() {
         val marks = Marks(
             List(20) { JobMark("j-%06d".format(it), it % 2 == 0, it, 9, 1_764_630_000_000) },
             List(12) { BootMark("boveda-24g", "ciudad-vieja", it % 2 == 0, 20, 25_000, 42_000) },
--- a/src/test/kotlin/org/honeyjunction/core/SessionLeaseTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/SessionLeaseTest.kt
@@ -39,7 +39,7 @@
         assertEquals(state, lease.state, case)
     }
 
-    /** What the holder goes by: [SessionLease], or the formula before it. */
+    /** What the leader goes by: [SessionLease], or the formula before it. */
     private interface Belief {
         val session: Long
         fun heard(session: Long, sequence: Long, token: Long, now: Long): Boolean
@@ -108,14 +108,14 @@
 
     private class Said(val session: Long, val sequence: Long, val token: Long, val task: Boolean)
 
-    /** One holder after the other and one worker; every action is a sentence of the protocol. Returns what went wrong. */
+    /** One leader after the other and one worker; every action is a sentence of the protocol. Returns what went wrong. */
     private class Play(private val belief: (Long, Long) -> Belief) {
         private var now = 0L
         private var term = 1L
         private val worker = Worker()
-        private var holder = belief(term, 0)
+        private var leader = belief(term, 0)
 
-        /** Whether the holder takes the task for possibly there. */
+        /** Whether the leader takes the task for possibly there. */
         private var placed = false
         private val held = ArrayDeque<Said>()
         var broken: String? = null
@@ -125,19 +125,19 @@
 
         private fun absorb(s: Said) {
             // A report that shows this term's token and does not list the task proves it gone, as in Reports.
-            if (holder.heard(s.session, s.sequence, s.token, now) && s.token >= term) placed = s.task
+            if (leader.heard(s.session, s.sequence, s.token, now) && s.token >= term) placed = s.task
         }
 
         private fun answer(s: Said, sentAt: Long, arrives: Boolean) {
-            holder.answered(s.session, now)
+            leader.answered(s.session, now)
             if (!arrives || term < worker.token || s.session != worker.session) return
             worker.token = maxOf(worker.token, term)
             worker.renewedAt = maxOf(worker.renewedAt, sentAt)
         }
 
         private fun command(start: Boolean, answered: Boolean) {
-            if (start && (!holder.counted || placed)) return
-            val matches = holder.session == worker.session && term >= worker.token
+            if (start && (!leader.counted || placed)) return
+            val matches = leader.session == worker.session && term >= worker.token
             if (start) placed = true
             if (matches) {
                 worker.token = term
@@ -153,7 +153,7 @@
         private fun pass(ms: Long) {
             now += ms
             worker.advance(now)
-            if (holder.over(now)) {
+            if (leader.over(now)) {
                 if (worker.task) broken = "taken for gone at $now, but runs in session ${worker.session}"
                 placed = false
             }
@@ -174,7 +174,7 @@
                 else -> {
                     term++
                     // The record of the start is durable; the session may be remembered.
-                    holder = belief(term, holder.session)
+                    leader = belief(term, leader.session)
                     placed = placed || worker.task
                 }
             }
--- a/src/test/kotlin/org/honeyjunction/core/WriteSharesTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/WriteSharesTest.kt
@@ -12,11 +12,11 @@
 class WriteSharesTest {
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        // case, queued at n1, at n2, at the holder, what the holder must write a second; the shares of n1, n2 and the holder, of 100 changes a second
+        // case, queued at n1, at n2, at the leader, what the leader must write a second; the shares of n1, n2 and the leader, of 100 changes a second
         "nothing waits: the fixed shares,          0,  0,  0,  0,  15,   15,  65",
-        "all users come to one that is no holder,  50, 0,  0,  0,  62,   3,   30",
-        "as many wait at the holder,               50, 0,  50, 0,  32.5, 3,   59.5",
-        "only the holder has something to write,   0,  0,  40, 0,  3,    3,   89",
+        "all users come to one that is no leader,  50, 0,  0,  0,  62,   3,   30",
+        "as many wait at the leader,               50, 0,  50, 0,  32.5, 3,   59.5",
+        "only the leader has something to write,   0,  0,  40, 0,  3,    3,   89",
         "what ends jobs goes before what comes in, 50, 0,  0,  60, 32,   3,   60",
         "but what comes in is never left without,  50, 0,  0, 500, 17,   3,   75",
     )
--- a/src/test/kotlin/org/honeyjunction/core/admission/FinalRecordsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/admission/FinalRecordsTest.kt
@@ -11,7 +11,7 @@
         "nothing waits,                   0.0, false, 0, false",
         "changes are short,               1.0, false, 2, true",
         "users bring too many,            0.0, true,  2, true",
-        "as many as a next holder reads,  9.0, true,  3, false",
+        "as many as a next leader reads,  9.0, true,  3, false",
     )
     fun `what is written in place`(case: String, waitS: Double, overAsked: Boolean, there: Int, expected: Boolean) {
         val finals = FinalRecords(20.0, most = 3)
--- a/src/test/kotlin/org/honeyjunction/core/admission/FloodTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/admission/FloodTest.kt
@@ -9,8 +9,8 @@
 import java.util.Random
 
 /**
- * Doors of several controllers, their holder's plans and the limit of the state service in virtual time, with users who come back for a
- * minute and are then lost. Each accepted job takes one change at once and two more, by the holder, twenty seconds later.
+ * Doors of several controllers, their leader's plans and the limit of the state service in virtual time, with users who come back for a
+ * minute and are then lost. Each accepted job takes one change at once and two more, by the leader, twenty seconds later.
  */
 class FloodTest {
     private class Try(val flow: Flow, val urgent: Boolean, val firstMs: Long, val id: Int)
@@ -25,7 +25,7 @@
         val queues = List(NODES) { List(3) { ArrayDeque<Write>() } }
         val tokens = DoubleArray(NODES)
         val down = BooleanArray(NODES)
-        var holder = 0
+        var leader = 0
         var term = 1L
         var maker = PlanMaker(weights, NODES, 1, 0)
         var shares = WriteShares(perS, NODES)
@@ -43,11 +43,11 @@
 
         fun waitS(n: Int, rank: Int) = queues[n].take(rank + 1).sumOf { it.size } / maxOf(0.1, share(n))
 
-        private fun must() = endsPerS + queues[holder][1].size / 5.0
+        private fun must() = endsPerS + queues[leader][1].size / 5.0
 
         private fun jobs(n: Int) = queues[n][0].size + queues[n][2].size
 
-        fun share(n: Int) = if (n == holder) shares.own(jobs(n), must(), now) else shares.grant("n$n", jobs(n), jobs(holder), must(), now)
+        fun share(n: Int) = if (n == leader) shares.own(jobs(n), must(), now) else shares.grant("n$n", jobs(n), jobs(leader), must(), now)
 
         fun come(t: Try, node: Int) {
             if (down[node]) {
@@ -62,7 +62,7 @@
 
         fun step(teams: Double, flood: Double) {
             now += 20
-            if (now % 500 == 0L && !plansLost && !down[holder]) for (n in 0 until NODES) if (!down[n]) {
+            if (now % 500 == 0L && !plansLost && !down[leader]) for (n in 0 until NODES) if (!down[n]) {
                 val g = gates[n]
                 val at = g.asks(now)
                 maker.heard("n$n", g.meter.asked(now), g.epoch, g.grantedPerS(now), now)
@@ -73,7 +73,7 @@
             if (random.nextDouble() < flood * 0.02) first(Flow("visitors", "swarm"), false, floodAt(random))
             while (ends.isNotEmpty() && ends.peek() <= now) {
                 ends.poll()
-                repeat(2) { queues[holder][1] += Write(null) }
+                repeat(2) { queues[leader][1] += Write(null) }
             }
             endsPerS *= 1 - 0.02 / 5
             if (!outage) for (n in 0 until NODES) if (!down[n]) {
@@ -107,7 +107,7 @@
         }
 
         fun takeOver() {
-            holder = (0 until NODES).first { !down[it] }
+            leader = (0 until NODES).first { !down[it] }
             maker = PlanMaker(weights, NODES, ++term, now)
             shares = WriteShares(perS, NODES)
         }
@@ -116,11 +116,11 @@
     @ParameterizedTest(name = "{0}")
     @CsvSource(delimiter = '|', value = [
         // flood in jobs a second, where it comes (-1: anywhere), trouble
-        "a flood through one node that is not the holder | 14 | 1  | none",
-        "a flood through the holder                      | 14 | 0  | none",
+        "a flood through one node that is not the leader | 14 | 1  | none",
+        "a flood through the leader                      | 14 | 0  | none",
         "a flood everywhere                              | 14 | -1 | none",
         "fifty times its share                           | 60 | -1 | none",
-        "the holder dies, a second node too              | 14 | -1 | deaths",
+        "the leader dies, a second node too              | 14 | -1 | deaths",
         "the state service is out for 15 s               | 14 | -1 | outage",
         "no plan is heard for 20 s                       | 14 | -1 | silence",
         "no flood at all                                 | 0  | -1 | deaths",
--- a/src/test/kotlin/org/honeyjunction/core/admission/PlanTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/admission/PlanTest.kt
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Three nodes, a holder that changes, and all that can happen to a question and its answer. What is in force at all nodes together must never
-     * exceed what there is; [careless] holders do not count what others were granted.
+     * Three nodes, a leader that changes, and all that can happen to a question and its answer. What is in force at all nodes together must never
+     * exceed what there is; [careless] leaders do not count what others were granted.
      */
     private inner class Model(private val careless: Boolean = false) {
         private val nodes = listOf("n0", "n1", "n2")
@@ -74,7 +74,7 @@
         private fun ask(node: String, fate: Int) {
             val gate = gates.getValue(node)
             val asked = gate.asks(now)
-            // Where the answer is sure to be lost and where it comes much later, the holder does not know it.
+            // Where the answer is sure to be lost and where it comes much later, the leader does not know it.
             maker.heard(node, listOf(Asked(Flow("a", "x"), false, 100.0), Asked(Flow("b", "y"), true, 5.0)), gate.epoch, gate.grantedPerS(now), now)
             val plan = if (careless) PlanMaker(weights, 1, term, -10_000).let { it.heard(node, listOf(Asked(Flow("a", "x"), false, 100.0)), Epoch.NONE, 0.0, now); it.plan(node, TOTAL / 2, emptySet(), now).copy(epoch = Epoch(term, now + 1)) }
             else maker.plan(node, TOTAL, emptySet(), now)
@@ -86,7 +86,7 @@
                 choice < 9 -> ask(nodes[choice % 3], choice / 3)
                 choice == 9 -> late.removeFirstOrNull()?.let { (node, plan, asked) -> gates.getValue(node).planned(plan, asked, now) }
                 choice == 10 -> now += 1_600
-                // The next holder knows nothing of what was granted.
+                // The next leader knows nothing of what was granted.
                 else -> maker = PlanMaker(weights, 3, ++term, now)
             }
             now += 1
@@ -114,7 +114,7 @@
     @Test
     fun `whatever is lost, late or taken over, all nodes together never let in more than there is`() {
         assertEquals(248_832 to null, explore(5, careless = false))
-        assertTrue(explore(5, careless = true).second != null, "a holder that does not count what others were granted is found out")
+        assertTrue(explore(5, careless = true).second != null, "a leader that does not count what others were granted is found out")
     }
 
     @Test
@@ -137,7 +137,7 @@
     }
 
     @Test
-    fun `what an earlier holder says late changes nothing, and a frozen node's plan ends by its clock`() {
+    fun `what an earlier leader says late changes nothing, and a frozen node's plan ends by its clock`() {
         val gate = Gate(weights, 0)
         val plan = Plan(Epoch(3, 7), 3_000, mapOf(Flow("a", "x") to 4.0), 0.1)
         assertTrue(gate.planned(plan, gate.asks(1_000), 1_200))
--- a/src/test/kotlin/org/honeyjunction/emulator/DayTest.kt
+++ b/src/test/kotlin/org/honeyjunction/emulator/DayTest.kt
@@ -23,7 +23,7 @@
 
     @Test
     fun `a day with a cut zone and machines that die ends with all work done, and plays the same again`() {
-        val faults = arrayOf("at 60s cut zone b for 20s", "at 63s kill holder", "at 110s kill 50 machines", "at 112s state outage for 6s")
+        val faults = arrayOf("at 60s cut zone b for 20s", "at 63s kill leader", "at 110s kill 50 machines", "at 112s state outage for 6s")
         val day = play(3, *faults)
         assertEquals(emptyList<String>(), day.world.broken)
         assertEquals(emptyList<String>(), day.left())
@@ -35,8 +35,8 @@
     }
 
     @Test
-    fun `a night on which machines boot badly, a holder stands still, another is lost and machines die`() {
-        val day = play(5, "at 0s slow boots for 40s", "at 50s lose boots for 60s", "at 55s hang holder for 14s", "at 80s kill holder", "at 85s kill 60 machines", "at 95s hang holder for 3s")
+    fun `a night on which machines boot badly, a leader stands still, another is lost and machines die`() {
+        val day = play(5, "at 0s slow boots for 40s", "at 50s lose boots for 60s", "at 55s hang leader for 14s", "at 80s kill leader", "at 85s kill 60 machines", "at 95s hang leader for 3s")
         assertEquals(emptyList<String>(), day.world.broken)
         assertEquals(emptyList<String>(), day.left())
         assertTrue(day.world.neverUp > 0)
@@ -49,15 +49,18 @@
     @CsvSource(
         "at 60s cut zone meseta for 47s, 60000, CUT, 47000", "at 1.5s hang 200 machines for 30s, 1500, HANG, 30000", "at 2s kill 5 machines, 2000, KILL, 4000",
         "at 2s notice zone x for 9s, 2000, NOTICE, 9000",
+        "at 3s isolate leader for 8s, 3000, ISOLATE, 8000", "at 3s refuse holder for 8s, 3000, REFUSE, 8000", "at 3s deafen zone x for 9s, 3000, DEAFEN, 9000",
+        "at 3s delay writes for 9s, 3000, DELAY, 9000", "at 3s repeat reports for 9s, 3000, REPEAT, 9000",
         "at 3s slow boots for 60s, 3000, SLOW, 60000", "at 3s lose boots, 3000, LOSE, 4000", "at 0.5s storm polls for 20s, 500, STORM, 20000",
     )
     fun `troubles of many machines`(text: String, atMs: Long, what: Fault.What, forMs: Long) {
         val f = Fault.parse(text)
         assertEquals(listOf(atMs, what, forMs), listOf(f.atMs, f.what, f.forMs))
+        assertEquals(f, Fault.parse(f.toString()), "it is written as it is read")
     }
 
     @ParameterizedTest
-    @ValueSource(strings = ["at 2s refuse zone x", "at 2s cut holder", "at 2s kill machines", "at 2s kill 1000000 machines", "at 2s hang zone", "2s kill machine", "at 2s kill boots", "at 2s slow polls", "at 2s storm machine", "at 2s refuse polls"])
+    @ValueSource(strings = ["at 2s refuse zone x", "at 2s cut leader", "at 2s kill machines", "at 2s kill 1000000 machines", "at 2s hang zone", "2s kill machine", "at 2s kill boots", "at 2s slow polls", "at 2s storm machine", "at 2s refuse polls", "at 2s isolate machine", "at 2s deafen leader", "at 2s delay reports"])
     fun `what is no trouble`(text: String) {
         assertThrows(IllegalArgumentException::class.java) { Fault.parse(text) }
     }
--- a/src/test/kotlin/org/honeyjunction/nomad/RegistryModelTest.kt
+++ b/src/test/kotlin/org/honeyjunction/nomad/RegistryModelTest.kt
@@ -21,7 +21,7 @@
 import org.junit.jupiter.params.provider.EnumSource
 
 /**
- * Every order of what operators, a holder that crashes, late writes and tasks may do to one registered job. What must hold in
+ * Every order of what operators, a leader that crashes, late writes and tasks may do to one registered job. What must hold in
  * each state is in [wrong]; a mistake put into any guard must be found.
  */
 class RegistryModelTest {
@@ -32,7 +32,7 @@
     /** [past]: of a batch job that was over before it was registered anew. */
     private data class Native(val piece: Piece, val record: Record, val running: Boolean, val past: Boolean = false)
 
-    /** What was sent by a holder and may still be applied, or never. */
+    /** What was sent by a leader and may still be applied, or never. */
     private data class Pending(val headVersion: Int, val action: Action)
 
     private data class World(
@@ -79,7 +79,7 @@
             return Rollout(head, facts, { Pace(0, Long.MAX_VALUE, autoRevert = false) }, Watched(), 0).step()
         }
 
-        /** The state service's view of a holder's write: the same conditions as the driver's. */
+        /** The state service's view of a leader's write: the same conditions as the driver's. */
         private fun apply(w: World, p: Pending): World {
             val same = w.head != null && w.headVersion == p.headVersion
             return when (val a = p.action) {
--- a/src/test/kotlin/org/honeyjunction/sim/IdleTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/IdleTest.kt
@@ -16,10 +16,10 @@
         while (w.state.finals.isEmpty()) w.run(100)
         val idleFrom = w.now
         assertTrue(w.workers.isNotEmpty())
-        // Every 25 s another holder; the idle time is 45 s.
+        // Every 25 s another leader; the idle time is 45 s.
         while (w.workers.isNotEmpty() && w.now - idleFrom < 200_000) {
             w.run(25_000)
-            w.holder?.alive = false
+            w.leader?.alive = false
             w.run(World.LEASE)
             w.elect()
         }
--- a/src/test/kotlin/org/honeyjunction/sim/LimitTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LimitTest.kt
@@ -22,7 +22,7 @@
         w.elect()
         val service = w.submit(1, JobKind.SERVICE, replicas, "a", priority = Priority.PRODUCTION)
         w.run(12_000)
-        // Arrays of one task that end one by one keep the team at its limit; machines die and the holder changes meanwhile.
+        // Arrays of one task that end one by one keep the team at its limit; machines die and the leader changes meanwhile.
         val arrays = ArrayList<String>()
         lateinit var gang: String
         repeat(160) {
--- a/src/test/kotlin/org/honeyjunction/sim/MassFailureTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/MassFailureTest.kt
@@ -30,13 +30,13 @@
 
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        // case, cut for s, the holder crashes meanwhile, connections reset, part of the machines kept at least, rented at most for each lost
+        // case, cut for s, the leader crashes meanwhile, connections reset, part of the machines kept at least, rented at most for each lost
         "shorter than the lease,                  8,  false, false, 0.98",
         "as long as the lease,                    12, false, false, 0.98",
         "longer than the lease and back warm,     16, false, false, 0.9",
         "the same with resets,                    16, false, true,  0.9",
-        "the holder crashes in it,                16, true,  false, 0.9",
-        "the holder crashes in it; resets too,    16, true,  true,  0.9",
+        "the leader crashes in it,                16, true,  false, 0.9",
+        "the leader crashes in it; resets too,    16, true,  true,  0.9",
     )
     fun `a zone that is cut off and comes back is not given away`(case: String, seconds: Long, crash: Boolean, resets: Boolean, kept: Double) {
         val w = fleet(11, 400)
@@ -76,7 +76,7 @@
     }
 
     @ParameterizedTest(name = "{0}")
-    @CsvSource("1,two zones in turn", "2,half a zone dead and half cut", "3,all machines hang together with the holder", "4,return during an outage of the state service", "5,the cloud is down meanwhile", "6,everything at once",
+    @CsvSource("1,two zones in turn", "2,half a zone dead and half cut", "3,all machines hang together with the leader", "4,return during an outage of the state service", "5,the cloud is down meanwhile", "6,everything at once",
         "7,a zone cut while its controller holds the term", "8,a capacity that shrinks to a third", "9,everything returns as the replacements come up", "10,a cut of the only zone with room")
     fun `hard cases at a thousand machines`(case: Int, name: String) {
         val w = fleet(20L + case, 1_000)
@@ -106,8 +106,8 @@
         "nothing" to {},
         "cut x" to { cut("x", 9_000) },
         "cut y long" to { cut("y", 20_000) },
-        "holder crashes" to { crash() },
-        "holder cut off" to { holder?.cutOff = true; at(World.LEASE) { elect() } },
+        "leader crashes" to { crash() },
+        "leader cut off" to { leader?.cutOff = true; at(World.LEASE) { elect() } },
         "a machine dies" to { workers.values.firstOrNull { !it.dead }?.dead = true },
         "a machine hangs" to { workers.values.lastOrNull { !it.dead }?.hungUntil = now + 16_000 },
     )
--- a/src/test/kotlin/org/honeyjunction/sim/MeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/MeetingsTest.kt
@@ -37,11 +37,11 @@
     fun `a job that is cancelled through the next leader is gone in time, though the former one answers its workers`(case: String, seed: Long) {
         val w = World(seed)
         val job = w.running()
-        val former = w.holder!!
+        val former = w.leader!!
         w.nextUnheard = true
         w.cutOff()
         w.run(World.LEASE + 200)
-        val next = w.holder!!
+        val next = w.leader!!
         assertTrue(next !== former && former.alive)
         w.cancel(job)
         // Nobody hears it, so the former leader may keep the tasks alive: it is confirmed only when that has an end.
@@ -70,7 +70,7 @@
         w.run(300)
         assertTrue(job in w.watch.cancelledAt, "confirmed")
         w.state.down = true
-        w.holder!!.alive = false
+        w.leader!!.alive = false
         w.run(40_000)
         assertEquals(0, w.live(job))
         assertEquals(emptyList<String>(), w.broken)
@@ -157,7 +157,7 @@
     private val troubles: List<Pair<String, World.() -> Unit>> = listOf(
         "the leader ends" to { crash() },
         "the leader is cut off" to { cutOff() },
-        "the leader is cut off and the next one not heard" to { nextUnheard = true; cutOff(); at(20_000) { nextUnheard = false; holder?.unheard = false } },
+        "the leader is cut off and the next one not heard" to { nextUnheard = true; cutOff(); at(20_000) { nextUnheard = false; leader?.unheard = false } },
         "the leader stands still" to { freeze(9_000) },
         "the state service is down" to { state.down = true; at(20_000) { state.down = false } },
         "half of the machines are deaf" to { workers.values.filterIndexed { i, _ -> i % 2 == 0 }.forEach { it.deafUntil = now + 16_000 } },
--- a/src/test/kotlin/org/honeyjunction/sim/MistakesTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/MistakesTest.kt
@@ -14,7 +14,7 @@
 class MistakesTest {
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        // case, bad jobs, bad machines, holder crashes, machines released at most
+        // case, bad jobs, bad machines, leader crashes, machines released at most
         // Where two bad jobs meet on one machine before either is found out, it is taken for faulty: one of sixty.
         "jobs with a mistake cost next to no machine,   6, 0, false, 1",
         "the same over a takeover,                      6, 0, true,  1",
@@ -50,10 +50,10 @@
         assertEquals(emptyList<String>(), w.broken)
     }
 
-    /** Machines that come late, at once or never, while holders change and machines die. */
+    /** Machines that come late, at once or never, while leaders change and machines die. */
     @ParameterizedTest(name = "{0}")
     @CsvSource(
-        // case, factor, one in so many never, holder crashes, rented at most beside those that never came
+        // case, factor, one in so many never, leader crashes, rented at most beside those that never came
         "four times as long,               4.0,  0, false, 45", "at once,                          0.02, 0, false, 45",
         "one in four never,                1.0,  4, false, 60", "both over a takeover,             4.0,  4, true,  70",
     )
--- a/src/test/kotlin/org/honeyjunction/sim/OverloadTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/OverloadTest.kt
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 
-/** A holder that falls behind: its answers to reports come too late, or reports wait unread, while commands pass. */
+/** A leader that falls behind: its answers to reports come too late, or reports wait unread, while commands pass. */
 class OverloadTest {
     /**
      * The night on which tasks ran twice: a worker's lease ended, its next session was first heard in the answer to a command,
@@ -41,14 +41,14 @@
         assertTrue(jobs.all { w.state.finals[it]?.stage == JobStage.DONE }, "all is done in the end")
     }
 
-    /** Holders that stand still while their clocks run on: shorter than the lease, longer, and with others that fail meanwhile. */
+    /** Leaders that stand still while their clocks run on: shorter than the lease, longer, and with others that fail meanwhile. */
     @ParameterizedTest(name = "{0}")
     @CsvSource(
         "shorter than the term's lease,              4000, false, false", "longer,                                     14000, false, false",
         "longer than the workers' leases too,        25000, false, false", "for a minute,                               60000, false, false",
         "while the state service is away,            14000, true,  false", "while machines die and a zone is cut,       14000, false, true",
     )
-    fun `a holder that stands still`(case: String, forMs: Long, outage: Boolean, machines: Boolean) {
+    fun `a leader that stands still`(case: String, forMs: Long, outage: Boolean, machines: Boolean) {
         val w = World(31, capacity = 60, setup = Setup(limits = mapOf("a" to 240.0, "b" to 240.0)))
         w.elect()
         val services = (1..8).map { w.submit(it, JobKind.SERVICE, 4, "a", spread = true, priority = Priority.PRODUCTION) }
--- a/src/test/kotlin/org/honeyjunction/sim/RulesSimulationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/RulesSimulationTest.kt
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 
-/** Whole holders under rules, in virtual time. */
+/** Whole leaders under rules, in virtual time. */
 class RulesSimulationTest {
     private fun rules(version: Long, text: String, topology: String? = null): RuleSet {
         val labels = topology?.let { TopologyReader.parse(Json.read(it.toByteArray())) } ?: Topology.EMPTY
@@ -48,7 +48,7 @@
         )
         w.run(9_000)
         w.workers.values.first().dead = true
-        w.holder?.alive = false
+        w.leader?.alive = false
         w.at(World.LEASE) { w.elect() }
         w.run(9_000)
         w.workers.values.filter { !it.dead }.last().cutUntil = w.now + 14_000
@@ -65,7 +65,7 @@
         w.run(120_000)
         w.assertDone(listOf(other))
         assertTrue(w.rentedInAll <= 4, "rented ${w.rentedInAll}")
-        val why = w.holder!!.holder.explain("j-1", 0, 1, w.now)!!.single().waits
+        val why = w.leader!!.leader.explain("j-1", 0, 1, w.now)!!.single().waits
         assertTrue(why.any { "no machine is rented" in it && "\"z\"" in it }, why.toString())
     }
 
@@ -114,9 +114,9 @@
         w.elect()
         val job = w.submit(1, JobKind.ARRAY, 6, "a")
         w.run(40_000)
-        val said = w.holder!!.holder.explain(job, 0, 6, w.now)!!
+        val said = w.leader!!.leader.explain(job, 0, 6, w.now)!!
         assertEquals(6, said.size)
         said.forEach { e -> assertEquals(listOf(false to 2.0), e.rules.map { it.met to it.costGb }) }
-        assertEquals(null, w.holder!!.holder.explain(job, 0, 6, w.now + 1_200_000)?.ifEmpty { null })
+        assertEquals(null, w.leader!!.leader.explain(job, 0, 6, w.now + 1_200_000)?.ifEmpty { null })
     }
 }
--- a/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/SimulationTest.kt
@@ -43,7 +43,7 @@
 
     @ParameterizedTest(name = "{0}, seed {1}")
     @CsvSource(
-        "holder crash,1", "holder crash,2", "holder cut off,3", "holder cut off,4", "machine dies,5", "machine dies,6",
+        "leader crash,1", "leader crash,2", "leader cut off,3", "leader cut off,4", "machine dies,5", "machine dies,6",
         "machine hangs,7", "machine hangs,8", "machine cut,9", "machine cut,10", "state outage,11", "cloud outage,12",
         "spot notice,13", "everything,14", "everything,15", "everything,16", "everything,17", "everything,18",
     )
@@ -52,7 +52,7 @@
         w.elect()
         val jobs = w.work()
         w.run(6_000 + w.random.nextInt(8_000).toLong())
-        val kinds = listOf("holder crash", "holder cut off", "machine dies", "machine hangs", "machine cut", "state outage", "cloud outage", "spot notice")
+        val kinds = listOf("leader crash", "leader cut off", "machine dies", "machine hangs", "machine cut", "state outage", "cloud outage", "spot notice")
         repeat(6) {
             w.strike(if (trouble == "everything") kinds[w.random.nextInt(kinds.size)] else trouble)
             w.run(1_000 + w.random.nextInt(9_000).toLong())
@@ -66,11 +66,11 @@
     internal fun World.strike(trouble: String) {
         val machine = workers.values.filter { !it.dead }.let { if (it.isEmpty()) null else it[random.nextInt(it.size)] }
         when (trouble) {
-            "holder crash" -> {
-                holder?.alive = false
+            "leader crash" -> {
+                leader?.alive = false
                 at(World.LEASE) { elect() }
             }
-            "holder cut off" -> {
+            "leader cut off" -> {
                 // The old one goes on: it reaches the workers, but not the state service.
                 at(World.LEASE) { elect() }
             }
@@ -93,7 +93,7 @@
     }
 
     @Test
-    fun `a large fleet - a thousand machines, the holder crashes, machines are lost by the dozen`() {
+    fun `a large fleet - a thousand machines, the leader crashes, machines are lost by the dozen`() {
         val w = World(7, capacity = 1_000, setup = Setup(limits = mapOf("a" to 3_000.0, "b" to 3_000.0)))
         w.elect()
         val jobs = (1..40).map { w.submit(it, JobKind.ARRAY, 60, if (it % 2 == 0) "a" else "b", spot = it % 3 == 0, seconds = 25.0) } +
@@ -101,7 +101,7 @@
             w.submit(81, JobKind.ARRAY, 700, "a", seconds = 5.0)
         w.run(18_000)
         assertTrue(w.workers.size > 500, "rented ${w.workers.size}")
-        w.strike("holder crash")
+        w.strike("leader crash")
         repeat(40) { w.strike(listOf("machine dies", "machine hangs", "machine cut")[it % 3]) }
         w.run(12_000)
         w.strike("state outage")
--- a/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
+++ b/src/test/kotlin/org/honeyjunction/wire/CodecTest.kt
@@ -115,7 +115,7 @@
     }
 
     @Test
-    fun `joined polls survive their way to the holder and back`() {
+    fun `joined polls survive their way to the leader and back`() {
         val ids = List(400) { "j-%06d".format(it) }
         assertEquals(PeerMessage.Polls(ids), PeerCodec.decode(Buffer().write(PeerCodec.encode(PeerMessage.Polls(ids)))))
         val sure = ids.take(300).withIndex().associate { (i, id) -> id to JobStatus(JobStage.entries[i % JobStage.entries.size], i, 2 * i) }
