--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -92,6 +92,7 @@
             }
             Fault.Whom.AllNodes -> strikeNodes(f, nodes.indices.toList())
             Fault.Whom.Leader -> strikeNodes(f, listOfNotNull(loopback.leader()))
+            Fault.Whom.Others -> strikeNodes(f, nodes.indices - setOfNotNull(loopback.leader()))
             is Fault.Whom.Node -> strikeNodes(f, listOf(whom.number).filter { it in nodes.indices })
         }
     }
@@ -106,7 +107,8 @@
                 Fault.What.KILL -> controllers.kill(n)
                 Fault.What.HANG -> controllers.hang(n, f.forMs)
                 Fault.What.REFUSE -> loopback.refuse(n, f.forMs)
-                Fault.What.ISOLATE -> if (!place.isolate(names[n], names.toSet() - names[n], f.forMs)) say("hive-$n can't be isolated here")
+                Fault.What.ISOLATE -> cut(n, f) { it == Loopback.STATE || it in names }
+                Fault.What.MUTE -> cut(n, f) { it != Loopback.STATE && it != Loopback.CLOUD && it != Loopback.USERS && it !in names }
                 Fault.What.CUT, Fault.What.NOTICE, Fault.What.DEAFEN, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.DELAY, Fault.What.REPEAT -> Unit
             }
         }
@@ -117,6 +119,10 @@
         if (back.isNotEmpty()) say("${back.joinToString { "hive-$it" }} back")
     }
 
+    private fun cut(n: Int, f: Fault, from: (String) -> Boolean) {
+        if (!place.cut(names[n], from, f.forMs)) say("hive-$n can't be cut from others here")
+    }
+
     fun say(text: String) = tell(stamped(text))
 
     fun stamped(text: String) = "%6.1f s  %s".format(loopback.now() / 1000.0, text)
--- a/src/main/kotlin/org/honeyjunction/app/local/Place.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Place.kt
@@ -19,8 +19,8 @@
     /** Addresses on loopback that nobody else gets. */
     fun addresses(count: Int): List<String>
 
-    /** Cuts a controller from the state service and from [others]; false where that can't be done. */
-    fun isolate(name: String, others: Set<String>, forMs: Long): Boolean
+    /** Cuts [name] from those whom [from] means; false where that can't be done. */
+    fun cut(name: String, from: (String) -> Boolean, forMs: Long): Boolean
 }
 
 /** Threads and sockets, in real time. */
@@ -31,7 +31,7 @@
 
     override fun addresses(count: Int): List<String> = List(count) { reserve() }.onEach { reserved += it }.map { "127.0.0.1:${(it.localAddress as InetSocketAddress).port}" }
 
-    override fun isolate(name: String, others: Set<String>, forMs: Long) = false
+    override fun cut(name: String, from: (String) -> Boolean, forMs: Long) = false
 
     override fun close() = reserved.forEach { it.close() }
 
@@ -61,9 +61,8 @@
 
     override fun addresses(count: Int): List<String> = List(count) { net.address() }
 
-    override fun isolate(name: String, others: Set<String>, forMs: Long): Boolean {
-        val cut = if (random.nextBoolean()) VirtualNet.Cut.HOLD else VirtualNet.Cut.REFUSE
-        net.cutBetween(name, { it in others || it == Loopback.STATE }, cut, forMs)
+    override fun cut(name: String, from: (String) -> Boolean, forMs: Long): Boolean {
+        net.cutBetween(name, from, VirtualNet.Cut.entries[random.nextInt(VirtualNet.Cut.entries.size)], forMs)
         return true
     }
 
--- a/src/main/kotlin/org/honeyjunction/app/local/Search.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -75,7 +75,7 @@
     private val kinds = listOf(
         Kind("kill leader", 9) { "kill leader" }, Kind("kill all", 4) { "kill all" }, Kind("kill a controller", 9) { "kill node ${it.nextInt(controllers)}" },
         Kind("hang leader", 14) { "hang leader" }, Kind("refuse leader", 40) { "refuse leader" }, Kind("isolate leader", 60) { "isolate leader" },
-        Kind("isolate a controller", 40) { "isolate node ${it.nextInt(controllers)}" }, Kind("state outage", 40) { "state outage" }, Kind("delay writes", 25) { "delay writes" },
+        Kind("mute leader", 20) { "mute leader" }, Kind("mute the others", 40) { "mute others" }, Kind("isolate a controller", 40) { "isolate node ${it.nextInt(controllers)}" }, Kind("state outage", 40) { "state outage" }, Kind("delay writes", 25) { "delay writes" },
         Kind("repeat reports", 40) { "repeat reports" }, Kind("deafen machines", 14) { "deafen ${1 + it.nextInt(4)} machines" }, Kind("hang machines", 12) { "hang ${1 + it.nextInt(3)} machines" },
         Kind("cut machines", 12) { "cut ${1 + it.nextInt(4)} machines" }, Kind("cut a zone", 14) { "cut zone ${zones[it.nextInt(zones.size)]}" }, Kind("kill machines", 1) { "kill ${1 + it.nextInt(2)} machines" },
         Kind("notice", 6) { "notice machine" },
--- a/src/main/kotlin/org/honeyjunction/emulator/Day.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Day.kt
@@ -33,7 +33,7 @@
             Fault.Whom.State -> world.state.down = true
             Fault.Whom.Cloud -> world.cloudDown = true
             // One leader acts here at a time: whichever node is meant, its successor is elected when its lease is over.
-            Fault.Whom.Leader, Fault.Whom.AllNodes, is Fault.Whom.Node -> when (f.what) {
+            Fault.Whom.Leader, Fault.Whom.AllNodes, Fault.Whom.Others, is Fault.Whom.Node -> when (f.what) {
                 Fault.What.REFUSE, Fault.What.ISOLATE -> world.cutOff()
                 Fault.What.HANG -> world.freeze(f.forMs)
                 else -> world.crash()
@@ -54,7 +54,7 @@
                         w.noticeS = f.forMs / 1000.0
                         world.at(f.forMs) { w.dead = true }
                     }
-                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
+                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.MUTE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
                 }
             }
         }
@@ -69,6 +69,7 @@
         is Fault.Whom.Zone -> "zone ${whom.name}"
         is Fault.Whom.Node -> "node ${whom.number}"
         Fault.Whom.AllNodes -> "all nodes"
+        Fault.Whom.Others -> "the others"
         Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> whom.toString().lowercase()
         Fault.Whom.Leader, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
     }
--- a/src/main/kotlin/org/honeyjunction/standin/Fault.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Fault.kt
@@ -19,6 +19,9 @@
         /** A controller loses the state service and the other controllers, not its workers and users. In virtual time only. */
         ISOLATE,
 
+        /** A controller and the workers lose each other, not its way to the rest. In virtual time only. */
+        MUTE,
+
         /** Reports arrive; answers and commands to the machine are lost. */
         DEAFEN,
 
@@ -34,6 +37,9 @@
 
         data object AllNodes : Whom
 
+        /** All controllers but the leader. */
+        data object Others : Whom
+
         data class Node(val number: Int) : Whom
 
         /** Any machine that runs something. */
@@ -67,6 +73,7 @@
         val target = when (whom) {
             Whom.Leader -> "leader"
             Whom.AllNodes -> "all"
+            Whom.Others -> "others"
             is Whom.Node -> "node ${whom.number}"
             Whom.Machine -> "machine"
             is Whom.Machines -> "${whom.count} machines"
@@ -79,7 +86,7 @@
     }
 
     companion object {
-        const val FORM = "at <seconds>s (kill|hang|refuse|isolate) (leader|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice|deafen) (machine|<n> machines|zone <name>) [for <seconds>s], " +
+        const val FORM = "at <seconds>s (kill|hang|refuse|isolate|mute) (leader|others|node <n>|all) [for <seconds>s], at <seconds>s (kill|hang|cut|notice|deafen) (machine|<n> machines|zone <name>) [for <seconds>s], " +
             "at <seconds>s (state|cloud) outage [for <seconds>s], at <seconds>s (slow|lose) boots [for <seconds>s], or at <seconds>s (storm polls|delay writes|repeat reports) [for <seconds>s]"
         const val SHARE = 0.4
 
@@ -90,7 +97,7 @@
         const val STORM_POLLS = 10
         private const val DEFAULT_MS = 4_000L
         private const val MAX_S = 3_600.0
-        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|isolate|notice|deafen|state|cloud|slow|lose|storm|delay|repeat) (leader|holder|all|machine|outage|boots|polls|writes|reports|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
+        private val form = Regex("at ([0-9.]+)s (kill|hang|cut|refuse|isolate|mute|notice|deafen|state|cloud|slow|lose|storm|delay|repeat) (leader|holder|others|all|machine|outage|boots|polls|writes|reports|node [0-9]+|[0-9]{1,5} machines|zone [^ ]+)(?: for ([0-9.]+)s)?")
 
         /** Throws with what is wrong with [text]. */
         fun parse(text: String): Fault {
@@ -101,6 +108,7 @@
                 verb == "cloud" && target == "outage" -> Whom.Cloud
                 target == "leader" || target == FORMER -> Whom.Leader
                 target == "all" -> Whom.AllNodes
+                target == "others" -> Whom.Others
                 target == "machine" -> Whom.Machine
                 target == "boots" -> Whom.Boots
                 target == "polls" -> Whom.Polls
@@ -117,7 +125,7 @@
                 What.CUT, What.NOTICE, What.DEAFEN -> ofMachines(whom)
                 What.DELAY -> whom == Whom.Writes
                 What.REPEAT -> whom == Whom.Reports
-                What.REFUSE, What.ISOLATE -> ofNodes(whom)
+                What.REFUSE, What.ISOLATE, What.MUTE -> ofNodes(whom)
                 What.SLOW, What.LOSE -> whom == Whom.Boots
                 What.STORM -> whom == Whom.Polls
                 What.OUTAGE -> true
@@ -126,7 +134,7 @@
             return Fault(millis(at, text), what, whom, if (length.isEmpty()) DEFAULT_MS else millis(length, text))
         }
 
-        private fun ofNodes(whom: Whom) = whom == Whom.Leader || whom == Whom.AllNodes || whom is Whom.Node
+        private fun ofNodes(whom: Whom) = whom == Whom.Leader || whom == Whom.AllNodes || whom == Whom.Others || whom is Whom.Node
 
         private fun ofMachines(whom: Whom) = whom == Whom.Machine || whom is Whom.Machines || whom is Whom.Zone
 
@@ -144,6 +152,6 @@
         Fault.Whom.Machine -> there.filter { w -> w.tasks.values.any { it.live } }.shuffled(random).take(1)
         is Fault.Whom.Machines -> there.shuffled(random).sortedByDescending { w -> w.tasks.values.any { it.live } }.take(whom.count)
         is Fault.Whom.Zone -> there.filter { it.box.zone == whom.name }
-        Fault.Whom.Leader, Fault.Whom.AllNodes, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> emptyList()
+        Fault.Whom.Leader, Fault.Whom.AllNodes, Fault.Whom.Others, is Fault.Whom.Node, Fault.Whom.State, Fault.Whom.Cloud, Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> emptyList()
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -132,7 +132,7 @@
                 }
             }
             Fault.What.DEAFEN -> w.deafUntil = now() + f.forMs
-            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
+            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.MUTE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
         }
     }.map { it.name }
 
--- a/src/test/kotlin/org/honeyjunction/app/SearchTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SearchTest.kt
@@ -48,6 +48,7 @@
     @CsvSource(delimiter = '|', value = [
         "refused alone, then nobody is answered for longer than a cancellation may take | at 9s refuse leader for 30s, at 17s state outage for 40s",
         "cut off with its workers while jobs are cancelled elsewhere | at 9s isolate leader for 60s, at 17s state outage for 30s",
+        "cut off with its workers, whom the next leader does not reach | at 9s isolate leader for 60s, at 9s mute others for 60s",
         "writes carried out late, and their writer is gone | at 8s delay writes for 25s, at 10s kill leader for 1s, at 17s kill leader for 1s",
         "small jobs whose ends lie apart over two changes of leader | at 8s kill leader for 9s, at 16s kill leader for 9s, at 16s repeat reports for 40s",
         "handed over and back, all end, one returns at once | at 9s kill leader for 0.6s, at 15s kill all for 0.5s, at 15.8s kill node 0 for 9s, at 15.8s kill node 1 for 9s",
