A word of another attempt does not take the place of a start that may still be carried out

Cause: the first word that a new leader hears of a worker may be an old copy, from before a start that the earlier leader has recorded and whose command is still on its way. It lists the task's attempt before, on the same machine; that took the recorded start's place among the placements, and the next report, which lists neither, was taken as evidence that the task is nowhere, though the held-up start could still be carried out.

Change: where a start is in doubt (sent, or recorded by an earlier leader and unheard), reports of other attempts leave it as it is until the worker shows the token that voids it. A table of three cases.

--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -78,6 +78,8 @@
             state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
             return
         }
+        // What an earlier leader has recorded, or this one sent, may still begin: a word of another attempt, perhaps an old one, says nothing of it.
+        if (known?.phase?.doubtful == true) return
         val elsewhere = task.placements.any { it.machine !== machine }
         // A start of ours that was not sent yet gives way to what the machine really has.
         val placement = state.place(task, machine, said.attempt, phase, now)
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -171,6 +171,9 @@
     ;
 
     val reported get() = this >= FETCHING
+
+    /** A start may still be executed, and no report has shown it yet. */
+    val doubtful get() = this == SENT || this == UNHEARD
 }
 
 class Placement(val task: Task, val machine: Machine, val attempt: Long, phase: Phase, now: Long) {
--- a/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/RecoveryTest.kt
@@ -89,6 +89,24 @@
         assertEquals(left, h.places().size, name)
     }
 
+    /**
+     * The recorded start (attempt 77) is held up on its way. A copy of a report from before it, which lists the attempt before it on the same machine,
+     * is the first that the new leader hears; then reports that list nothing. Until the token is shown, 77 may still begin.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "the old word and newer ones without the token,       0, 0, 1",
+        "the newer one shows the token,                       0, 1, 0",
+        "the old word is of a session that is over,           1, 0, 1",
+    )
+    fun `an old word of another attempt does not take a start's place that may still be carried out`(name: String, sessions: Long, acked: Int, left: Int) {
+        val h = leader()
+        h.hello(report(1, 5, 0, ReportedTask("j-1", 0, 50, TaskState.Running)), 10)
+        assertEquals(listOf(77L), h.places().map { it.attempt }, name)
+        h.hello(report(1 + sessions, 6, token * acked), 20)
+        assertEquals(left, h.places().size, name)
+    }
+
     @Test
     fun `a worker that has seen a higher term ends the leader's part`() {
         val h = leader()
