A word from before the term proves nothing of a later attempt, and starts nothing

An old report that reaches a new leader as the first word of a worker could list an earlier attempt of a task than the leaders' pages name on that machine. It took the place of the recorded one; the next old report, without it, made the task pass for gone, and it was started elsewhere while the later attempt ran: twice, and beyond the team's limit. The recorded attempt now stays until there is a word with this term's token.

A machine takes starts only once it has shown this term's token. Before, an old report of a machine that is gone by now had tasks sent there, which then waited for the proof that they are not.

--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -36,7 +36,7 @@
             if (provesGone(placement, report, newSession)) state.remove(placement, now)
         }
         machine.endedSaid = report.tasks.count { it.state is TaskState.Ended }
-        report.tasks.forEach { takeIn(machine, it, now) }
+        report.tasks.forEach { takeIn(machine, it, report, now) }
         state.touched += machine
         if (report.noticeS != null) notice(machine, report.noticeS, now)
         return true
@@ -52,7 +52,7 @@
             Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.SAVING -> true
         }
 
-    private fun takeIn(machine: Machine, said: ReportedTask, now: Long) {
+    private fun takeIn(machine: Machine, said: ReportedTask, report: Report, now: Long) {
         val job = state.job(said.job) ?: return
         val task = job.tasks.getOrNull(said.number) ?: return
         val known = machine.placements[said.task]
@@ -78,12 +78,20 @@
             state.cluster.types[machine.type]?.let { machine.noteImage(job.image, job.spec.imageGb, it.cacheGb) }
             return
         }
+        if (known != null && outlives(known, said, report)) return
         val elsewhere = task.placements.any { it.machine !== machine }
         // A start of ours that was not sent yet gives way to what the machine really has.
         val placement = state.place(task, machine, said.attempt, phase, now)
         if (job.unwanted || task.done || elsewhere) placement.askToStop(0.0)
     }
 
+    /**
+     * A word from before this term may be older than what the record names: an earlier attempt in it is history, and whatever becomes of that one
+     * is no evidence of the later.
+     */
+    private fun outlives(known: Placement, said: ReportedTask, report: Report): Boolean =
+        known.phase == Phase.UNHEARD && said.attempt < known.attempt && report.token < state.termToken
+
     private fun ended(known: Placement?, task: Task, end: TaskState.Ended, machine: Machine, now: Long) {
         val job = task.job
         if (known != null) state.remove(known, now)
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -80,8 +80,11 @@
     /** Ended tasks in its newest report; they stay there until their results are durable and they are forgotten. */
     var endedSaid = 0
 
-    /** Whether more may be started here: its reports list all that runs and all that has ended, and are bounded in size. */
-    val takesMore get() = usable && !held && placements.size + endedSaid < MOST_SAID
+    /**
+     * Whether more may be started here. Its reports list all that runs and all that has ended, and are bounded in size. It has shown this term's token:
+     * a word from before the term may be of a machine that is gone, or of a session that is over.
+     */
+    val takesMore get() = usable && !held && lease.fenced && placements.size + endedSaid < MOST_SAID
 
     /** A job failed here that has not been tried elsewhere yet; see core.blame. */
     var held = false
