A machine that answers commands but can't report gets nothing new

Only an answered report renews a worker's lease. A machine whose reports were lost while commands reached it stayed UP by the answers to those commands, and tasks were started there that its lease's end took seconds later. Whether reports are overdue now counts reports alone, and only a report makes a QUIET or LOST machine UP again.

--- a/src/main/kotlin/org/honeyjunction/core/control/Leader.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Leader.kt
@@ -212,7 +212,7 @@
     fun hello(report: Report, now: Long): HelloAnswer? {
         enter(now)
         if (outdone(report.token)) return null
-        reports.absorb(report, now)
+        reports.absorb(report, now, byItself = true)
         // What it tells is evidence; to answer it is to renew its lease.
         renewal(RenewalBound.Event.Watched(now))
         if (!renewal.renews) {
--- a/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Reports.kt
@@ -12,8 +12,8 @@
 
 /** Takes in what workers say; the only evidence, beside releases and leases, of what is on a machine. */
 class Reports(private val state: ClusterState, private val lifecycle: Lifecycle, private val boots: BootTimes) {
-    /** Returns false for a message that is older than what is known already. */
-    fun absorb(report: Report, now: Long): Boolean {
+    /** Returns false for a message that is older than what is known already. [byItself]: it came as a report, not as the answer to a command. */
+    fun absorb(report: Report, now: Long, byItself: Boolean = false): Boolean {
         val machine = state.addMachine(report.machine, now)
         // Held back until after the machine's release was confirmed: what it tells is over.
         if (machine.phase == MachinePhase.GONE) return false
@@ -24,9 +24,11 @@
             Finding.STALE, Finding.NONE, Finding.OVER -> return false
         }
         machine.lastHeardAt = now
+        if (byItself) machine.reportedAt = now
         // One that is first known by its own word tells nothing of how long it took.
         if (machine.phase == MachinePhase.BOOTING && machine.knownSince < now) boots.up(machine.kind, machine.knownSince, now)
-        if (machine.phase in SILENT) machine.enter(MachinePhase.UP)
+        // A machine that answers commands but can't report loses all it has with its lease: only a report of its own makes it one to count on again.
+        if (machine.phase in SILENT && (byItself || machine.phase !in MUTE)) machine.enter(MachinePhase.UP)
         if (machine.placements.isEmpty() && machine.idleSince == Long.MIN_VALUE) machine.idleSince = now
 
         val listed = report.tasks.associateBy { it.task }
@@ -115,5 +117,6 @@
     private companion object {
         const val REFUSED_MS = 1_000L
         val SILENT = setOf(MachinePhase.BOOTING, MachinePhase.UNHEARD, MachinePhase.QUIET, MachinePhase.LOST)
+        val MUTE = setOf(MachinePhase.QUIET, MachinePhase.LOST)
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Zones.kt
@@ -85,10 +85,13 @@
         MachinePhase.BOOTING, MachinePhase.UP, MachinePhase.DRAINING, MachinePhase.RELEASING, MachinePhase.GONE -> false
     }
 
-    fun overdue(m: Machine, now: Long) = silentMs(m, now) > state.cluster.reportMs * OVERDUE_REPORTS
+    /** Answers to commands do not count: they renew no lease, so what is started there meanwhile would go with it. */
+    fun overdue(m: Machine, now: Long) = silentMs(m, m.reportedAt, now) > state.cluster.reportMs * OVERDUE_REPORTS
+
+    fun silentMs(m: Machine, now: Long) = silentMs(m, m.lastHeardAt, now)
 
     /** While this process stood still it could hear nobody: that is no silence of theirs. */
-    fun silentMs(m: Machine, now: Long) = now - maxOf(maxOf(m.lastHeardAt, m.knownSince), maxOf(startedAt, state.leaseCheck.resumedAt))
+    private fun silentMs(m: Machine, since: Long, now: Long) = now - maxOf(maxOf(since, m.knownSince), maxOf(startedAt, state.leaseCheck.resumedAt))
 
     /** Whether [m] was rented while a zone was cut off that has come back since: it may not be needed any more. */
     fun rentedInstead(m: Machine, now: Long): Boolean = zones.any { m.knownSince in it.cutAt..it.returnedAt && now - it.returnedAt < GIVE_BACK_MS }
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -11,7 +11,7 @@
     UNHEARD,
     UP,
 
-    /** Was heard under this term, but its reports are missing: nothing new goes there, and what is there may run on. */
+    /** Was heard under this term, but its reports are missing, though it may answer commands: nothing new goes there, and what is there may run on. */
     QUIET,
 
     /** Takes no new tasks: spot notice, faulty, or to be returned. */
@@ -42,6 +42,9 @@
     /** The token that commands to this machine carry. */
     var token = 0L
     var lastHeardAt = Long.MIN_VALUE / 2
+
+    /** When a report of its own last came, which only keeps its lease alive: answers to commands may come without. */
+    var reportedAt = Long.MIN_VALUE / 2
     var knownSince = 0L
     var idleSince = Long.MIN_VALUE
     var noticeUntil: Long? = null
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -98,6 +98,9 @@
     /** Of so many in a hundred reports a copy arrives once more, up to two leases later. */
     var lateReports = 0
 
+    /** What else gets through between controllers and workers, and how slowly. */
+    val links = Links()
+
     /** All machines of [zone] that are up lose the network together. */
     fun cut(zone: String, forMs: Long) = workers.values.filter { it.box.zone == zone && !it.dead }.forEach { it.cutUntil = now + forMs }
 
@@ -166,6 +169,9 @@
         /** Reaches neither the state service nor the cloud, which hear it late, nor other controllers. */
         var cutOff = false
 
+        /** The state service refuses it alone: it reaches all others. */
+        var refused = false
+
         /** What it sends to workers is lost. */
         var unheard = nextUnheard
         val leader = Leader(setup.cluster(), Tuning(rules = rules.version > 0), term, NODE, state.recovered(), now, now, setup.listLagMs, rules, listOf(OTHER)).also { it.leaseUntil(now + LEASE, now) }
@@ -196,7 +202,7 @@
     private fun tick(core: Core) {
         if (!core.alive) return
         if (now < core.frozenUntil) return at(core.frozenUntil - now) { tick(core) }
-        if (core === leader && !state.down && !core.cutOff) core.leader.leaseUntil(now + LEASE, now)
+        if (core === leader && !state.down && !core.cutOff && !core.refused) core.leader.leaseUntil(now + LEASE, now)
         if (!core.cutOff && now % VOUCH_MS < 100) vouch(core)
         core.run { tick(now) }
         at(100) { tick(core) }
@@ -246,6 +252,7 @@
     /** Writes are answered, or their answer is lost, or they are held back and applied late, if their conditions still hold. */
     private fun commit(core: Core, e: Effect.Commit) {
         if (core.cutOff) return at(heldBackMs()) { state.commit(core.term, e.changes) }
+        if (core.refused) return at(300) { commit(core, e) }
         val fate = if (e.changes.any { it is Change.JobOver }) 50 else random.nextInt(50)
         if (fate == 0) at(3_000L + random.nextInt(5_000)) { state.commit(core.term, e.changes) }
         at(latency()) {
@@ -260,7 +267,7 @@
     }
 
     private fun reread(core: Core, e: Effect.Commit) {
-        if (state.down) return at(300) { reread(core, e) }
+        if (state.down || core.refused) return at(300) { reread(core, e) }
         val outcome = state.reread(e.changes)
         core.run { committed(e.id, outcome, now) }
     }
@@ -268,18 +275,19 @@
     /** Commands reach the worker, or come much later: held back by a cut or a hanging machine. */
     private fun deliver(core: Core, e: Effect.Send) {
         val w = workers[e.machine]
-        val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard
+        val apart = w != null && !links.hears(w, core)
+        val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard || apart
         if (held && resets) return at(200) { core.run { commandUnanswered(e.id, now) } }
-        val lost = core.unheard || w != null && now < w.deafUntil
-        val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil, now) - now + random.nextInt(30_000) else latency()
+        val lost = core.unheard || w != null && now < w.deafUntil || apart
+        val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil, now) - now + random.nextInt(30_000) else latency() + links.slow(random)
         if (!lost) at(delay) {
             val there = workers[e.machine]?.takeIf { !it.silent(now) } ?: return@at
             there.advance(now)
             val done = there.command(e.token, e.session, e.commands, now)
             val report = there.report()
-            if (!held) at(latency()) { core.run { if (done) commandExecuted(e.id, report, now) else commandRejected(e.id, report, now) } }
+            if (!held) at(latency() + links.slow(random)) { core.run { if (done) commandExecuted(e.id, report, now) else commandRejected(e.id, report, now) } }
         }
-        if (held) at(2000) { core.run { commandUnanswered(e.id, now) } }
+        if (held || links.slowMs > 0) at(2000) { core.run { commandUnanswered(e.id, now) } }
     }
 
     private fun rent(core: Core, e: Effect.Rent) {
@@ -310,19 +318,19 @@
         val report = w.report()
         val sentAt = now
         // A report that is held back arrives late, at whoever holds the term by then.
-        val delay = if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency()
+        val delay = links.holdBack(report) ?: if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency() + links.slow(random)
         if (lateReports > 0 && random.nextInt(100) < lateReports) at(2_000L + random.nextInt(2 * setup.workerLeaseMs.toInt())) { leader?.run { hello(report, now) } }
         at(delay) {
-            val core = (homes[w.name]?.takeIf { it.alive } ?: leader)?.takeIf { it.alive && it.reachable } ?: return@at
+            val core = listOfNotNull(homes[w.name], leader).firstOrNull { it.alive && links.reports(w, it) }?.takeIf { it.reachable } ?: return@at
             homes[w.name] = core
             core.run {
                 val answer = hello(report, now)
-                if (answer == null || core.unheard || now < w.deafUntil) {
+                if (answer == null || core.unheard || now < w.deafUntil || !links.hears(w, core)) {
                     homes -= w.name
                     return@run
                 }
                 val (token, commands) = answer.token to answer.commands
-                at(if (now < answersLateUntil) 5_000 else latency()) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
+                at(if (now < answersLateUntil) 5_000 else latency() + links.slow(random)) { if (now - sentAt < 4000 && !w.silent(now)) w.answered(sentAt, report.session, token, commands, now) }
             }
         }
     }
