Search: answers lost, reports kept for the next leader, close looks, cancellations at the worst moments

A transaction is carried out and only its answer is lost; copies of reports reach every controller as a later term begins; users ask at all nodes within milliseconds after what they are told, submit again, and call jobs off at once, at their end or in a burst; machines can be mute, boots hurried, lists late, requests odd; a trouble can wait for a moment (a write carried out, a term begun, a job's last task). The watch holds, per job, the newest answer received before each question was sent, whichever node gave either.

--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.honeyjunction.app.OperatorClient
 import org.honeyjunction.app.RulesApi
 import org.honeyjunction.app.UserApi
@@ -49,7 +50,7 @@
         val sample = settings.forNode(0, nodes, peers, NOWHERE, NOWHERE)
         loopback = Loopback(settings.loopback(sample), nodes.mapIndexed { i, a -> settings.name(i) to a }, seed, place.loop(Loopback.WORLD)) { work[it] }
         this.controllers = Controllers(nodes.indices.map { settings.forNode(it, nodes, peers, loopback.stateAddresses[it], loopback.cloudAddress) }, tuning, place, clock, this.nomad.map { nomad?.copy(listen = it) })
-        users = Users(loopback.loop.named(Loopback.USERS), nodes, loopback.watch, loopback::now)
+        users = Users(loopback.loop.named(Loopback.USERS), nodes, loopback.watch, seed, loopback::now)
     }
 
     fun start(faults: List<Fault>) {
@@ -61,35 +62,34 @@
         nodes.indices.forEach(controllers::start)
         for (f in faults) loopback.loop.scope.launch {
             delay((f.atMs - loopback.now()).coerceAtLeast(0))
+            if (f.on != null) withTimeoutOrNull(MOMENT_MS) { loopback.await(f.on) }
             strike(f)
         }
     }
 
     private suspend fun strike(f: Fault) {
+        if (f.whom is Fault.Whom.Shared && f.whom != Fault.Whom.State && f.whom != Fault.Whom.Cloud) say("${f.what.name.lowercase()} ${f.whom.toString().lowercase()} for ${f.forMs / 1000.0} s")
         when (val whom = f.whom) {
             Fault.Whom.State, Fault.Whom.Cloud -> {
                 loopback.outage(whom, f.forMs)
                 say("outage of ${if (whom == Fault.Whom.State) "the state service" else "the cloud"} for ${f.forMs / 1000.0} s")
             }
-            Fault.Whom.Machine, is Fault.Whom.Machines, is Fault.Whom.Zone -> say("${f.what.name.lowercase()} ${few(loopback.strike(f))}")
-            Fault.Whom.Boots -> {
-                loopback.boots(f.what, f.forMs)
-                say("${f.what.name.lowercase()} boots for ${f.forMs / 1000.0} s")
-            }
+            is Fault.Whom.Hosts -> say("${f.what.name.lowercase()} ${few(loopback.strike(f))}")
+            Fault.Whom.Boots -> loopback.boots(f.what, f.forMs)
             Fault.Whom.Polls -> {
-                say("users ask ${Fault.STORM_POLLS} times at once for ${f.forMs / 1000.0} s")
                 users.pollsAtOnce = Fault.STORM_POLLS
                 delay(f.forMs)
                 users.pollsAtOnce = 1
             }
-            Fault.Whom.Writes -> {
-                say("transactions are late for ${f.forMs / 1000.0} s")
-                loopback.delayWrites(f.forMs)
-            }
-            Fault.Whom.Reports -> {
-                say("reports come again for ${f.forMs / 1000.0} s")
-                loopback.repeatReports(f.forMs)
+            Fault.Whom.Writes -> loopback.delayWrites(f.forMs)
+            Fault.Whom.Answers -> loopback.loseAnswers(f.forMs)
+            Fault.Whom.Reports -> if (f.what == Fault.What.KEEP) loopback.keepReports(f.forMs) else loopback.repeatReports(f.forMs)
+            Fault.Whom.Lists -> loopback.lagLists(f.forMs)
+            is Fault.Whom.Jobs -> {
+                users.pressing.press(f, loopback::running)
+                loopback.hangMachinesOf(users.jobs.filter { it.cancelWanted }.mapTo(HashSet()) { it.spec.id }, f.forMs)
             }
+            Fault.Whom.Ends, Fault.Whom.Accepted, Fault.Whom.Looks, Fault.Whom.Requests -> users.pressing.press(f, loopback::running)
             Fault.Whom.AllNodes -> strikeNodes(f, nodes.indices.toList())
             Fault.Whom.Leader -> strikeNodes(f, listOfNotNull(loopback.leader()))
             Fault.Whom.Others -> strikeNodes(f, nodes.indices - setOfNotNull(loopback.leader()))
@@ -109,7 +109,7 @@
                 Fault.What.REFUSE -> loopback.refuse(n, f.forMs)
                 Fault.What.ISOLATE -> cut(n, f) { it == Loopback.STATE || it in names }
                 Fault.What.MUTE -> cut(n, f) { it != Loopback.STATE && it != Loopback.CLOUD && it != Loopback.USERS && it !in names }
-                Fault.What.CUT, Fault.What.NOTICE, Fault.What.DEAFEN, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.DELAY, Fault.What.REPEAT -> Unit
+                else -> Unit
             }
         }
         if (f.what != Fault.What.KILL) return
@@ -187,6 +187,9 @@
         const val MAX_CLAUSE = 20_000
         const val FEW = 3
 
+        /** By then a trouble that waits for a moment comes without it. */
+        const val MOMENT_MS = 20_000L
+
         /** Where an address is only a placeholder. */
         const val NOWHERE = "127.0.0.1:1"
     }
--- a/src/main/kotlin/org/honeyjunction/app/local/Search.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -17,7 +17,7 @@
 }
 
 /** What came of a day. */
-class Played(val broken: List<String>, val unserved: List<String>, val terms: Long, val cancelled: Int, val lateWrites: Int, val starts: Int, val virtualMs: Long) {
+class Played(val broken: List<String>, val unserved: List<String>, val terms: Long, val cancelled: Int, val lateWrites: Int, val starts: Int, val virtualMs: Long, val reached: Map<String, Int>) {
     val good get() = broken.isEmpty() && unserved.isEmpty()
 
     /** The first thing that went wrong, in a word: the same after some troubles less shows that they had no part in it. */
@@ -45,9 +45,15 @@
         place.time.runUntil(place.time.now + ASK_AGAIN_MS)
         if (watch.started == 0 && watch.broken.isEmpty()) watch.note(place.time.now, "nothing_ran")
         val open = cluster.users.jobs.filter { !(it.over && it.stage != Users.Stage.REFUSED) && !(it.stage == Users.Stage.ACCEPTED && lasting(it)) }
-        return Played(watch.broken.toList(), open.map { "${it.spec.id} ${it.stage}${known(cluster, it.spec.id)}" }, cluster.loopback.term(), watch.cancelledAt.size, cluster.loopback.lateWrites, watch.started, place.time.now)
+        return Played(watch.broken.toList(), open.map { "${it.spec.id} ${it.stage}${known(cluster, it.spec.id)}" }, cluster.loopback.term(), watch.cancelledAt.size, cluster.loopback.lateWrites, watch.started, place.time.now, reached(cluster))
     }
 
+    /** How often came about what troubles are meant to bring about. */
+    private fun reached(cluster: LocalCluster) = mapOf(
+        "answers lost" to cluster.loopback.unanswered, "kept reports delivered" to cluster.loopback.keptDelivered, "close questions" to cluster.users.pressing.looks,
+        "jobs called off at the worst moments" to cluster.users.pressing.calledOff, "starts after a cancellation" to cluster.loopback.watch.startedCancelled,
+    )
+
     /** What the leader knows of a job that it should have served. */
     private fun known(cluster: LocalCluster, id: String): String {
         val state = cluster.controllers.nodes.firstNotNullOfOrNull { it.certainLeader }?.leader?.state ?: return ", no leader"
@@ -56,7 +62,7 @@
         return ": ${job.spec.kind} of ${job.spec.tasks}, needs ${job.spec.need}, waiting ${job.waiting.cardinality()}, placed ${job.placements.size}, startable ${job.startable}, not before ${job.notBefore - state.now} ms; $rooms"
     }
 
-    private fun lasting(job: Users.Tracked) = job.spec.kind == JobKind.SERVICE && job.planned.cancelAtMs == null
+    private fun lasting(job: Users.Tracked) = job.spec.kind == JobKind.SERVICE && job.planned.cancelAtMs == null && !job.cancelWanted
 
     private companion object {
         const val STEP_MS = 1_000L
@@ -78,7 +84,10 @@
         Kind("mute leader", 20) { "mute leader" }, Kind("mute the others", 40) { "mute others" }, Kind("isolate a controller", 40) { "isolate node ${it.nextInt(controllers)}" }, Kind("state outage", 40) { "state outage" }, Kind("delay writes", 25) { "delay writes" },
         Kind("repeat reports", 40) { "repeat reports" }, Kind("deafen machines", 14) { "deafen ${1 + it.nextInt(4)} machines" }, Kind("hang machines", 12) { "hang ${1 + it.nextInt(3)} machines" },
         Kind("cut machines", 12) { "cut ${1 + it.nextInt(4)} machines" }, Kind("cut a zone", 14) { "cut zone ${zones[it.nextInt(zones.size)]}" }, Kind("kill machines", 1) { "kill ${1 + it.nextInt(2)} machines" },
-        Kind("notice", 6) { "notice machine" },
+        Kind("notice", 6) { "notice machine" }, Kind("lose answers", 25) { "lose answers" }, Kind("lose answers", 40) { "lose answers" },
+        Kind("keep reports", 40) { "keep reports" }, Kind("close looks", 60) { "close looks" }, Kind("close looks", 60) { "close looks" },
+        Kind("cancel at once", 60) { "cancel accepted" }, Kind("cancel at the end", 60) { "cancel ends" }, Kind("cancel now", 10) { "cancel ${2 + it.nextInt(5)} jobs" },
+        Kind("mute machines", 30) { "mute ${1 + it.nextInt(5)} machines" }, Kind("hurry boots", 40) { "hurry boots" }, Kind("lag lists", 40) { "lag lists" }, Kind("odd requests", 30) { "odd requests" },
     )
 
     /** How often two troubles met in the days drawn so far. */
@@ -87,7 +96,7 @@
     /** The day of [seed]; with [faults], if there are any, instead of those that it would draw. */
     fun draw(seed: Long, given: List<Fault> = emptyList()): ShortDay {
         val random = Random(seed)
-        val count = 2 + random.nextInt(3)
+        val count = 2 + random.nextInt(4)
         var at = 5_000L + random.nextInt(9_000)
         val drawn = ArrayList<Kind>()
         val faults = ArrayList<Fault>()
@@ -95,7 +104,8 @@
             val kind = kinds[random.nextInt(kinds.size)]
             drawn += kind
             val forMs = minOf(kind.mostS * 1_000L, 500L + random.nextInt(kind.mostS * 1_000))
-            faults += Fault.parse("at ${at / 1000.0}s ${kind.text(random)} for ${forMs / 1000.0}s")
+            val moment = if (random.nextInt(MOMENT_ONE_IN) == 0) "on ${Fault.Moment.entries[random.nextInt(Fault.Moment.entries.size)].name.lowercase()} " else ""
+            faults += Fault.parse("at ${at / 1000.0}s $moment${kind.text(random)} for ${forMs / 1000.0}s")
             // Aimed at moments that matter: at once, while a term is won, while its leader looks round, and when the first is nearly over.
             at += GAPS_MS[random.nextInt(GAPS_MS.size)] + random.nextInt(400)
         }
@@ -136,6 +146,7 @@
 
     private companion object {
         const val JOBS = 10
+        const val MOMENT_ONE_IN = 4
         val GAPS_MS = listOf(0, 300, 1_000, 2_500, 5_000, 6_500, 9_000, 15_000)
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/local/SearchRun.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/SearchRun.kt
@@ -18,6 +18,7 @@
             var cancelled = 0
             var late = 0
             var starts = 0
+            val reached = LinkedHashMap<String, Int>()
             for (batch in drawn.chunked(BATCH)) {
                 val played = threads.invokeAll(batch.map { day -> Callable { cluster.play(day) } }).map { it.get() }
                 for ((day, p) in batch.zip(played)) {
@@ -25,6 +26,7 @@
                     cancelled += p.cancelled
                     late += p.lateWrites
                     starts += p.starts
+                    p.reached.forEach { (what, n) -> reached.merge(what, n, Int::plus) }
                     if (!p.good) {
                         ticker.end()
                         return failed(day, p)
@@ -33,7 +35,7 @@
                 ticker.show("${batch.last().seed - seed + 1} days")
             }
             ticker.end()
-            println("$days days from seed $seed with $controllers controllers: no rule broken; $terms terms, $cancelled cancellations, $late transactions carried out late, $starts starts")
+            println("$days days from seed $seed with $controllers controllers: no rule broken; $terms terms, $cancelled cancellations, $late transactions carried out late, $starts starts; " + reached.entries.joinToString { "${it.value} ${it.key}" })
             if (faults.isEmpty()) println("meetings of ${search.meetings.size} pairs of troubles: ${search.meetings.entries.sortedBy { it.value }.let { all -> "${all.first().value} times ${all.first().key} to ${all.last().value} times ${all.last().key}" }}")
             return Status.OK
         } finally {
--- a/src/main/kotlin/org/honeyjunction/emulator/Day.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Day.kt
@@ -33,18 +33,20 @@
             Fault.Whom.State -> world.state.down = true
             Fault.Whom.Cloud -> world.cloudDown = true
             // One leader acts here at a time: whichever node is meant, its successor is elected when its lease is over.
-            Fault.Whom.Leader, Fault.Whom.AllNodes, Fault.Whom.Others, is Fault.Whom.Node -> when (f.what) {
+            is Fault.Whom.Nodes -> when (f.what) {
                 Fault.What.REFUSE, Fault.What.ISOLATE -> world.cutOff()
                 Fault.What.HANG -> world.freeze(f.forMs)
                 else -> world.crash()
             }
-            Fault.Whom.Boots -> if (f.what == Fault.What.SLOW) world.bootFactor = Fault.SLOW_BOOTS else world.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
-            // Users do not ask here.
-            Fault.Whom.Polls -> Unit
+            Fault.Whom.Boots -> when (f.what) {
+                Fault.What.SLOW -> world.bootFactor = Fault.SLOW_BOOTS
+                Fault.What.HURRY -> world.bootFactor = 1 / Fault.SLOW_BOOTS
+                else -> world.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
+            }
             Fault.Whom.Reports -> world.lateReports = (Fault.SHARE * 100).toInt()
-            // Some are always late here.
-            Fault.Whom.Writes -> Unit
-            Fault.Whom.Machine, is Fault.Whom.Machines, is Fault.Whom.Zone -> victims(f.whom, world.workers.values, world.random).forEach { w ->
+            // Users do not ask here, some writes are always late, and the list always lags.
+            is Fault.Whom.Shared -> Unit
+            is Fault.Whom.Hosts -> victims(f.whom, world.workers.values, world.random).forEach { w ->
                 when (f.what) {
                     Fault.What.KILL -> w.dead = true
                     Fault.What.HANG -> w.hungUntil = until
@@ -54,14 +56,14 @@
                         w.noticeS = f.forMs / 1000.0
                         world.at(f.forMs) { w.dead = true }
                     }
-                    Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.MUTE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
+                    else -> Unit
                 }
             }
         }
         if (f.whom == Fault.Whom.State) world.at(f.forMs) { world.state.down = false }
         if (f.whom == Fault.Whom.Reports) world.at(f.forMs) { world.lateReports = 0 }
         if (f.whom == Fault.Whom.Cloud) world.at(f.forMs) { world.cloudDown = false }
-        if (f.whom == Fault.Whom.Boots) world.at(f.forMs) { if (f.what == Fault.What.SLOW) world.bootFactor = 1.0 else world.bootFailsOneIn = 0 }
+        if (f.whom == Fault.Whom.Boots) world.at(f.forMs) { if (f.what == Fault.What.LOSE) world.bootFailsOneIn = 0 else world.bootFactor = 1.0 }
     }
 
     private fun named(whom: Fault.Whom) = when (whom) {
@@ -70,8 +72,8 @@
         is Fault.Whom.Node -> "node ${whom.number}"
         Fault.Whom.AllNodes -> "all nodes"
         Fault.Whom.Others -> "the others"
-        Fault.Whom.Boots, Fault.Whom.Polls, Fault.Whom.Writes, Fault.Whom.Reports -> whom.toString().lowercase()
         Fault.Whom.Leader, Fault.Whom.Machine, Fault.Whom.State, Fault.Whom.Cloud -> "the ${whom.toString().lowercase()}"
+        is Fault.Whom.Shared -> whom.toString().lowercase()
     }
 
     /** Plays on until all but services is over, a rule is broken, or [withinMs] have passed. */
--- a/src/main/kotlin/org/honeyjunction/standin/Cloud.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Cloud.kt
@@ -20,10 +20,14 @@
     val machines = LinkedHashMap<String, Machine>()
     var down = false
 
-    /** What is rented now takes so many times as long to boot; and one in so many never comes up, but is charged. */
+    /** What is rented now takes so many times as long to boot, or a second or two; and one in so many never comes up, but is charged. */
     var bootFactor = 1.0
+    var hurried = false
     var bootFailsOneIn = 0
 
+    /** Lists tell how things stood so many times their lag ago. */
+    var lagFactor = 1
+
     fun request(now: Long): Boolean = requests.take(1.0, now)
 
     /** Null: no capacity, or no such type or zone. */
@@ -33,7 +37,7 @@
         val there = minOf(count, MOST, capacity - machines.size)
         if (there <= 0) return null
         val rented = List(there) {
-            val boot = kind.bootS * bootFactor * (FASTEST + random.nextDouble() * (SLOWEST - FASTEST))
+            val boot = if (hurried) HURRIED_S * random.nextDouble() else kind.bootS * bootFactor * (FASTEST + random.nextDouble() * (SLOWEST - FASTEST))
             val never = bootFailsOneIn > 0 && random.nextInt(bootFailsOneIn) == 0
             Machine("vm-%06d".format(++names), kind, zone, spot, now, if (never) Long.MAX_VALUE else now + (boot * 1000).toLong())
         }
@@ -49,12 +53,12 @@
         snapshots += Snapshot(now, machines.values.map {
             Listed(it.name, it.address, it.type.name, it.zone, it.spot, it.failed, (now - it.rentedAt) / 1000.0)
         })
-        while (snapshots.first().at < now - 2 * lagMs - SNAPSHOT_MS) snapshots.removeFirst()
+        while (snapshots.first().at < now - MOST_LAGS * lagMs - SNAPSHOT_MS) snapshots.removeFirst()
     }
 
     /** Older than the one before, at times. The machines, and whether each is up by then. */
     fun list(now: Long): List<Listed> {
-        val asOf = now - (lagMs * (FASTEST + random.nextDouble())).toLong()
+        val asOf = now - (lagMs * lagFactor * (FASTEST + random.nextDouble())).toLong()
         return (snapshots.lastOrNull { it.at <= asOf } ?: snapshots.firstOrNull())?.machines.orEmpty()
     }
 
@@ -65,5 +69,7 @@
         const val FASTEST = 0.6
         const val SLOWEST = 1.5
         const val SNAPSHOT_MS = 200L
+        const val HURRIED_S = 2.0
+        const val MOST_LAGS = 4
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Loopback.kt
@@ -1,12 +1,16 @@
 package org.honeyjunction.standin
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.model.MachineType
 import org.honeyjunction.core.model.Team
+import org.honeyjunction.io.Connections
+import org.honeyjunction.io.HttpClient
 import org.honeyjunction.io.Loop
 import org.honeyjunction.wire.JobCodec
 import org.honeyjunction.wire.given
+import java.io.IOException
 import java.util.Random
 
 /** What the stand-ins are told of the cluster; times in milliseconds. */
@@ -26,6 +30,16 @@
     private val saved = HashMap<String, Double>()
     private val hosts = LinkedHashMap<String, WorkerHost>()
     private var repeatUntil = 0L
+
+    /** Copies of reports that are kept for the next terms. */
+    private var keepUntil = 0L
+    private val kept = ArrayList<ByteArray>()
+    private val copies = Connections(loop.named(COPIES), most = 32)
+    var keptDelivered = 0
+        private set
+    private val awaited = ArrayList<Pair<Fault.Moment, CompletableDeferred<Unit>>>()
+    private var lastTerm = 0L
+    private var ended = 0
     private val stateServers = nodes.map { StateServer(loop.named(STATE), store, Random(random.nextLong()), ::now) }
     private val cloudServer = CloudServer(loop.named(CLOUD), cloud, settings.types, settings.zones, ::now) { names -> names.forEach(::remove) }
 
@@ -38,12 +52,22 @@
     val stateAddresses: List<String> = stateServers.map { it.listen() }
     val cloudAddress: String = cloudServer.listen()
 
+    /** Until the next such moment. */
+    suspend fun await(moment: Fault.Moment) = CompletableDeferred<Unit>().also { awaited += moment to it }.await()
+
+    private fun passed(moment: Fault.Moment) {
+        val now = awaited.filter { it.first == moment }
+        awaited -= now.toSet()
+        now.forEach { it.second.complete(Unit) }
+    }
+
     /** Does [what] on the stand-ins' thread, some time soon. */
     fun later(what: suspend () -> Unit) {
         loop.scope.launch { what() }
     }
 
     fun start() {
+        stateServers.forEach { it.onWrite = { passed(Fault.Moment.WRITE) } }
         loop.scope.launch {
             while (true) {
                 step()
@@ -60,6 +84,34 @@
         workers.forEach { it.advance(now) }
         gangs.step(workers, now)
         watch.check(workers, now)
+        if (watch.completed.size != ended) passed(Fault.Moment.END)
+        ended = watch.completed.size
+        if (term() != lastTerm) {
+            passed(Fault.Moment.TERM)
+            kept.toList().forEach(::deliver)
+            // What some keep comes to the term after next, too.
+            kept.removeIf { random.nextBoolean() }
+        }
+        lastTerm = term()
+    }
+
+    /** A report of an earlier term reaches every controller. */
+    private fun deliver(report: ByteArray) {
+        val after = KEPT_MS[random.nextInt(KEPT_MS.size)]
+        for ((_, address) in nodes) loop.scope.launch {
+            delay(after + random.nextInt(20))
+            keptDelivered++
+            try {
+                HttpClient(copies, address).send("POST", WorkerHost.HELLO, report, WorkerHost.ANSWER_MS)
+            } catch (_: IOException) {
+                // It was only a copy.
+            }
+        }
+    }
+
+    private fun keep(report: ByteArray) {
+        if (now() >= keepUntil || random.nextDouble() >= Fault.SHARE) return
+        if (kept.size < MOST_KEPT) kept += report else kept[random.nextInt(MOST_KEPT)] = report
     }
 
     /** What a job's user has uploaded; of jobs that came as files the service itself knows most, and their tasks run as estimated. */
@@ -73,6 +125,7 @@
         m.address = host.address
         host.worker = Worker(Box(m.name, host.address, m.type.name, m.type.size, m.zone, m.spot, m.type.cacheGb, m.type.fetchGbPerS), settings.timing, now(), ::described, saved, watch.completed)
         host.repeatUntil = repeatUntil
+        host.onReport = ::keep
         host.repeatWithinMs = (settings.timing.leaseMs * 2).toInt()
         hosts[m.name] = host
         host.start()
@@ -100,9 +153,30 @@
     }
 
     val lateWrites get() = stateServers.sumOf { it.lateWrites }
+    val unanswered get() = stateServers.sumOf { it.unanswered }
 
     fun delayWrites(forMs: Long) = stateServers.forEach { it.lateUntil = now() + forMs }
 
+    fun loseAnswers(forMs: Long) = stateServers.forEach { it.unansweredUntil = now() + forMs }
+
+    fun keepReports(forMs: Long) {
+        keepUntil = now() + forMs
+    }
+
+    fun lagLists(forMs: Long) {
+        cloud.lagFactor = 2
+        loop.scope.launch {
+            delay(forMs)
+            cloud.lagFactor = 1
+        }
+    }
+
+    /** Jobs with tasks on machines, and up to eight of the machines of [jobs]. */
+    fun running(): Set<String> = workers.flatMapTo(HashSet()) { w -> w.tasks.values.filter { it.live }.map { it.spec.id } }
+
+    fun hangMachinesOf(jobs: Set<String>, forMs: Long) =
+        workers.filter { w -> w.tasks.values.any { it.live && it.spec.id in jobs } }.shuffled(random).take(MOST_HUNG).forEach { it.hungUntil = now() + forMs }
+
     fun repeatReports(forMs: Long) {
         repeatUntil = now() + forMs
         hosts.values.forEach { it.repeatUntil = repeatUntil }
@@ -110,10 +184,18 @@
 
     /** What is rented for [forMs] boots badly. */
     fun boots(what: Fault.What, forMs: Long) {
-        if (what == Fault.What.SLOW) cloud.bootFactor = Fault.SLOW_BOOTS else cloud.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
+        when (what) {
+            Fault.What.SLOW -> cloud.bootFactor = Fault.SLOW_BOOTS
+            Fault.What.HURRY -> cloud.hurried = true
+            else -> cloud.bootFailsOneIn = Fault.LOST_BOOTS_ONE_IN
+        }
         loop.scope.launch {
             delay(forMs)
-            if (what == Fault.What.SLOW) cloud.bootFactor = 1.0 else cloud.bootFailsOneIn = 0
+            when (what) {
+                Fault.What.SLOW -> cloud.bootFactor = 1.0
+                Fault.What.HURRY -> cloud.hurried = false
+                else -> cloud.bootFailsOneIn = 0
+            }
         }
     }
 
@@ -132,7 +214,8 @@
                 }
             }
             Fault.What.DEAFEN -> w.deafUntil = now() + f.forMs
-            Fault.What.REFUSE, Fault.What.OUTAGE, Fault.What.SLOW, Fault.What.LOSE, Fault.What.STORM, Fault.What.ISOLATE, Fault.What.MUTE, Fault.What.DELAY, Fault.What.REPEAT -> Unit
+            Fault.What.MUTE -> w.muteUntil = now() + f.forMs
+            else -> Unit
         }
     }.map { it.name }
 
@@ -152,11 +235,17 @@
         const val STATE = "state"
         const val CLOUD = "cloud"
         const val USERS = "users"
+        private const val COPIES = "copies"
 
         /** The one process of all stand-ins. */
         const val WORLD = "world"
         private const val STEP_MS = 20L
         private const val DEATH_SEEN_MS = 3_000L
+        private const val MOST_KEPT = 60
+        private const val MOST_HUNG = 8
+
+        /** How long after a term's record the reports of earlier ones come: with it, before its leader acts, and after. */
+        private val KEPT_MS = listOf(0L, 0L, 100L, 500L, 1_500L, 4_000L)
 
         /** Two records of the project's own, read only to tell who holds the term. */
         private const val LEAD = "lead"
--- /dev/null
+++ b/src/main/kotlin/org/honeyjunction/standin/Pressing.kt
@@ -0,0 +1,129 @@
+package org.honeyjunction.standin
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.io.Loop
+import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.Json
+import java.util.Random
+
+/** What users do at the worst of moments: ask at all nodes at once, call off what ends, send what can't run. */
+class Pressing(private val users: Users, private val loop: Loop, private val nodes: Int, private val watch: Watch, seed: Long, private val now: () -> Long) {
+    private val random = Random(seed)
+
+    /** Until then, of each: close looks, jobs called off as they end, or as they are accepted. */
+    private var looksUntil = 0L
+    private var endsUntil = 0L
+    private var acceptedUntil = 0L
+
+    /** How many questions were asked closely, and how many jobs were called off at their end or as they were accepted. */
+    var looks = 0
+        private set
+    var calledOff = 0
+        private set
+
+    /** What [f] asks of users; comes back when it is over. */
+    suspend fun press(f: Fault, running: () -> Set<String>) {
+        val until = now() + f.forMs
+        when (f.whom) {
+            Fault.Whom.Looks -> looksUntil = until
+            Fault.Whom.Accepted -> acceptedUntil = until
+            Fault.Whom.Ends -> endsUntil = until
+            Fault.Whom.Requests -> while (now() < until) {
+                odd()
+                delay(ODD_MS)
+            }
+            is Fault.Whom.Jobs -> {
+                val there = running()
+                users.jobs.filter { it.stage == Users.Stage.ACCEPTED && !it.cancelWanted && it.spec.id in there }.shuffled(random).take(f.whom.count).forEach { callOff(it, BURST_MS) }
+            }
+            else -> Unit
+        }
+        if (f.whom == Fault.Whom.Looks || f.whom == Fault.Whom.Ends) watchEnds(until)
+    }
+
+    private fun callOff(job: Users.Tracked, withinMs: Int) {
+        job.cancelWanted = true
+        calledOff++
+        loop.scope.launch {
+            delay(random.nextInt(withinMs).toLong())
+            users.cancel(job, random.nextInt(nodes))
+        }
+    }
+
+    /** The user has learnt something of [job]. */
+    fun changed(job: Users.Tracked) {
+        if (job.stage == Users.Stage.ACCEPTED && now() < acceptedUntil && random.nextInt(ACCEPTED_ONE_IN) == 0) callOff(job, SOON_MS)
+        if (now() < looksUntil && job.stage in LOOKED_AT) look(job)
+    }
+
+    /** The last task of a job ends some time before anybody is told. */
+    private suspend fun watchEnds(until: Long) {
+        val seen = HashSet<String>()
+        while (now() < until) {
+            for (job in users.jobs) {
+                if (job.stage != Users.Stage.ACCEPTED || job.spec.kind == JobKind.SERVICE || job.spec.id in seen) continue
+                if ((0 until job.spec.tasks).any { "${job.spec.id}/$it" !in watch.completed }) continue
+                seen += job.spec.id
+                if (now() < endsUntil && !job.cancelWanted && random.nextBoolean()) callOff(job, SOON_MS)
+                if (now() < looksUntil) look(job)
+            }
+            delay(STEP_MS)
+        }
+    }
+
+    /** All nodes are asked, some are told again, and some users call off at once. */
+    private fun look(job: Users.Tracked) {
+        if (job.stage == Users.Stage.ACCEPTED && random.nextInt(CANCEL_ONE_IN) == 0) callOff(job, SOON_MS)
+        for (node in 0 until nodes) for (after in LOOKS_MS) loop.scope.launch {
+            delay(after + random.nextInt(SOON_MS))
+            looks++
+            if (random.nextInt(SUBMIT_ONE_IN) == 0) users.submit(job, node) else users.poll(job, node)
+        }
+    }
+
+    private suspend fun odd() {
+        val job = users.jobs.filter { it.stage in LOOKED_AT }.ifEmpty { return }.let { it[random.nextInt(it.size)] }
+        if (job.over) users.cancel(job) else users.submit(job)
+        val id = "j-9%08d".format(random.nextInt(100_000_000))
+        val body = bad(job, id)
+        val node = random.nextInt(nodes)
+        val status = users.ask("POST", Users.RUNS, Json.write(body), Users.SUBMIT_MS, node)?.status
+        if (status == 200 || status == 201) watch.note(now(), "bad_accepted: $body")
+        val asked = users.ask("GET", "${Users.RUNS}/$id", timeoutMs = Users.SUBMIT_MS, at = node)?.status
+        if (asked == 200) watch.note(now(), "invented: $id")
+    }
+
+    /** Like [job], but such that it can't run, or with a field missing or wrong. */
+    private fun bad(job: Users.Tracked, id: String): ObjectNode {
+        val spec = job.spec
+        fun with(need: Resources = spec.need, team: String = spec.team, types: List<String>? = spec.types, tasks: Int = spec.tasks, kind: JobKind = spec.kind) =
+            JobCodec.write(spec.copy(id = id, need = need, team = team, types = types, tasks = tasks, kind = kind))
+        return when (random.nextInt(KINDS)) {
+            0 -> with(need = Resources(2.0, 64.0, 4.0))
+            1 -> with(team = "nobody")
+            2 -> with(types = listOf("no-such"))
+            3 -> with(tasks = 5_000, kind = JobKind.GANG)
+            4 -> with().put("Cells", -1)
+            5 -> with().put("Cast", "swarm")
+            else -> with().apply { remove(FIELDS[random.nextInt(FIELDS.size)]) }
+        }
+    }
+
+    private companion object {
+        const val STEP_MS = 20L
+        const val BURST_MS = 200
+        const val SOON_MS = 6
+        const val ODD_MS = 150L
+        const val ACCEPTED_ONE_IN = 4
+        const val CANCEL_ONE_IN = 10
+        const val SUBMIT_ONE_IN = 3
+        const val KINDS = 14
+        val LOOKS_MS = listOf(0L, 25L, 400L)
+        val LOOKED_AT = setOf(Users.Stage.ACCEPTED, Users.Stage.DONE, Users.Stage.CANCELLED)
+        val FIELDS = listOf("Ref", "Comb", "Colony", "Cast", "Precedence", "Cells", "Vcpus", "Gpus", "MemoryGb", "Brood", "PullGb", "SamePlace", "Scatter", "BorrowedHives", "ForageS", "CapS", "SealS")
+    }
+}
--- a/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/StateServer.kt
@@ -19,9 +19,17 @@
     /** Until then some transactions get no answer and are carried out after newer ones. */
     var lateUntil = 0L
 
-    /** How many were carried out late. */
+    /** Until then only the answers of some are lost. */
+    var unansweredUntil = 0L
+
+    /** Called when a transaction has been carried out, and before it is answered. */
+    var onWrite: () -> Unit = {}
+
+    /** How many were carried out late, and how many at once without an answer. */
     var lateWrites = 0
         private set
+    var unanswered = 0
+        private set
     private val shut get() = store.down || now() < refusedUntil
 
     /** The address that it listens on. */
@@ -73,6 +81,7 @@
         val call = OtherSide.commit(r.body)
         val puts = call.puts.map { (key, value, lease) -> Store.Put(key, value, lease) }
         if (now() < lateUntil && random.nextDouble() < Fault.SHARE) return late(call.conditions, puts)
+        val lost = now() < unansweredUntil && random.nextDouble() < Fault.SHARE
         val fate = random.nextInt(FATES)
         if (fate == LATE) {
             delay(LATE_MS)
@@ -80,16 +89,25 @@
             return Response(503)
         }
         val outcome = store.commit(call.conditions, puts, now())
-        if (fate == UNANSWERED) delay(LATE_MS)
-        return when (outcome) {
-            is Store.Commit.Applied -> Response(200, OtherSide.revision(outcome.revision))
-            is Store.Commit.Conflict -> Response(409, OtherSide.conflict(outcome.failed, outcome.revision))
-            is Store.Commit.Malformed -> Response(400, "{\"error\":\"${outcome.why}\"}".toByteArray())
-            Store.Commit.OverLimit -> Response(429)
-        }
+        if (outcome is Store.Commit.Applied && puts.isNotEmpty()) onWrite()
+        if (lost && outcome is Store.Commit.Applied) unanswered++
+        if (lost) delay(NO_ANSWER_MS) else if (fate == UNANSWERED) delay(LATE_MS)
+        return told(outcome)
     }
 
+    private fun told(outcome: Store.Commit) = when (outcome) {
+        is Store.Commit.Applied -> Response(200, OtherSide.revision(outcome.revision))
+        is Store.Commit.Conflict -> Response(409, OtherSide.conflict(outcome.failed, outcome.revision))
+        is Store.Commit.Malformed -> Response(400, "{\"error\":\"${outcome.why}\"}".toByteArray())
+        Store.Commit.OverLimit -> Response(429)
+    }
+
+    /** Most get no answer; some are carried out a little later, and answered then. */
     private suspend fun late(conditions: Map<String, Long>, puts: List<Store.Put>): Response {
+        if (random.nextInt(ANSWERED_ONE_IN) == 0) {
+            delay(random.nextInt(ANSWERED_WITHIN_MS).toLong())
+            return if (shut) Response(503) else told(store.commit(conditions, puts, now()))
+        }
         val afterMs = 2_000L + random.nextInt(10_000)
         loop.scope.launch {
             delay(afterMs)
@@ -123,5 +141,7 @@
         const val UNANSWERED = 1
         const val LATE_MS = 2_500L
         const val NO_ANSWER_MS = 15_000L
+        const val ANSWERED_ONE_IN = 4
+        const val ANSWERED_WITHIN_MS = 3_000
     }
 }
--- a/src/main/kotlin/org/honeyjunction/standin/Watch.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Watch.kt
@@ -3,6 +3,13 @@
 import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.Resources
 
+/** What a user is told of a job; the last two are final, and neither comes after the other. */
+enum class Answer {
+    UNKNOWN, REFUSED, ACTIVE, DONE, CANCELLED;
+
+    val final get() = this >= DONE
+}
+
 /** Asserts the rules of PROTOCOL over what really is on the machines; what is broken is told once, with its time. */
 class Watch(private val limits: Map<String, Resources>, private val cancelMs: Long) {
     class Live(val worker: Worker, val task: Worker.Task)
@@ -16,6 +23,13 @@
     val cancelledAt = HashMap<String, Long>()
     var started = 0
         private set
+
+    /** Starts after their job's user was told that it is cancelled: such as were on their way may come for a while. */
+    var startedCancelled = 0
+        private set
+
+    /** The newest that each job's user has been told. */
+    private val newest = HashMap<String, Answer>()
     private val before = HashMap<String, Pair<String, Long>>()
 
     /** The latest start of every task. */
@@ -50,6 +64,28 @@
         if (broken.size < MAX_BROKEN) broken += "$now $what"
     }
 
+    /** What a user knows of a job by now: whoever is asked from now on may not tell something older. */
+    fun newest(id: String): Answer? = newest[id]
+
+    /** A user is told [answer], having asked when [before] was the newest that any node had told. */
+    fun answered(spec: JobSpec, before: Answer?, answer: Answer, cancelAsked: Boolean, now: Long) {
+        val known = newest[spec.id]
+        when (answer) {
+            Answer.UNKNOWN, Answer.REFUSED -> if (before != null) note(now, "forgotten: ${spec.id} is ${answer.name.lowercase()}")
+            Answer.ACTIVE -> if (before?.final == true) note(now, "went_back: ${spec.id} from $before to $answer")
+            Answer.DONE, Answer.CANCELLED -> if (known?.final == true && known != answer) note(now, "went_back: ${spec.id} from $known to $answer")
+        }
+        if (answer == Answer.DONE && known != answer) {
+            val open = (0 until spec.tasks).firstOrNull { "${spec.id}/$it" !in completed }
+            if (open != null) note(now, "not_done: ${spec.id} is called done, but not its task $open")
+        }
+        if (answer == Answer.CANCELLED) {
+            cancelledAt.putIfAbsent(spec.id, now)
+            if (!cancelAsked) note(now, "went_back: ${spec.id} is cancelled though nobody asked")
+        }
+        if (answer >= Answer.ACTIVE && (known == null || answer > known)) newest[spec.id] = answer
+    }
+
     private fun started(here: Live, mates: List<Live>, now: Long) {
         started++
         val spec: JobSpec = here.task.spec
@@ -60,6 +96,7 @@
         if (spec.oneZone && mates.any { it.worker.box.zone != box.zone }) note(now, "wrong_place: ${here.task.id} out of its zone")
         if (spec.spread && mates.count { it.worker.box.zone == box.zone } > (spec.tasks + 1) / 2) note(now, "wrong_place: ${here.task.id} crowds a zone")
         val late = cancelledAt[spec.id]
+        if (late != null) startedCancelled++
         if (late != null && now - late > cancelMs) note(now, "ran_cancelled: ${here.task.id} starts")
         val beside = here.worker.tasks.values.filter { it.live && it.id != here.task.id }
         val start = Start(now, here.task, here.worker, beside.map { it.spec })
--- a/src/main/kotlin/org/honeyjunction/standin/Worker.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Worker.kt
@@ -54,6 +54,9 @@
 
     /** Until then its reports arrive, but it hears neither answers nor commands. */
     var deafUntil = 0L
+
+    /** Until then it reaches no controller, while commands reach it. */
+    var muteUntil = 0L
     var noticeS: Double? = null
 
     /** A machine that is at fault: whatever runs on it fails. */
--- a/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/WorkerHost.kt
@@ -24,6 +24,9 @@
     /** Until then copies of reports arrive late, up to [repeatWithinMs] after the first. */
     var repeatUntil = 0L
     var repeatWithinMs = 1
+
+    /** Is given each report as it is sent. */
+    var onReport: (ByteArray) -> Unit = {}
     private val scope = CoroutineScope(loop.scope.coroutineContext + Job(loop.scope.coroutineContext[Job]))
     private val connections = Connections(loop, most = 2)
     private var node = random.nextInt(nodes.size)
@@ -98,6 +101,11 @@
             delay(ANSWER_MS)
             return false
         }
+        if (now() < worker.muteUntil) {
+            delay(MUTE_MS)
+            return false
+        }
+        onReport(body)
         if (now() < repeatUntil && random.nextDouble() < Fault.SHARE) repeat(body)
         val answer = try {
             HttpClient(connections, nodes[node].second).send("POST", HELLO, body, ANSWER_MS)
@@ -139,13 +147,16 @@
         }
     }
 
-    private companion object {
+    companion object {
         const val HELLO = "/hello"
-        const val MAX_CONNECTIONS = 16
-        const val STEP_MS = 20L
-        const val CHANGE_MS = 500L
-        const val RETRY_MS = 1_000L
         const val ANSWER_MS = 4_000L
-        const val REDIRECT_MS = 300
+        private const val MAX_CONNECTIONS = 16
+        private const val STEP_MS = 20L
+        private const val CHANGE_MS = 500L
+        private const val RETRY_MS = 1_000L
+
+        /** How long a connection that can't be opened is waited for. */
+        private const val MUTE_MS = 500L
+        private const val REDIRECT_MS = 300
     }
 }
