A repeated submission is a question at every node: no door, no credit, no change, and never refused as new

Cause: at a node other than the leader, or at the leader while the final record is on its way, a repeat found nothing in memory. It was counted as new demand, paid the door's credit or was refused by it, and then wrote a record whose condition failed; failed transactions count against the limit of changes, and what was joined with them was sent and counted again.

Change: whoever does not know the id compares its two records with "not there" first, many ids in one transaction without writes (Polls.recorded, StateClient.existing). What is there is answered by the path of questions; only what is not is judged and let in. A node that the state service refuses hands all of it to the leader before judging.

--- a/src/main/kotlin/org/honeyjunction/app/Polls.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Polls.kt
@@ -5,19 +5,30 @@
 import org.honeyjunction.core.polls.Desk
 import org.honeyjunction.wire.PeerMessage
 
-/** Users' polls that somebody else must answer: the leader, or the records. Times in milliseconds. */
+/** Users' questions that somebody else must answer: the leader, or the records. Times in milliseconds. */
 class Polls(private val node: Node, private val stored: suspend (String) -> StoredJob?) {
+    private val readGapMs get() = (1000 * READS / (node.settings.stateLimits.requestsPerS * SHARE)).toLong().coerceAtLeast(1)
+
     /** What the leader is sure of. */
     val leader = JoinedQuestions<JobStatus>(node.scope, node.clock, Desk(LEADER_GAP_MS, MOST_AT_ONCE, PATIENCE_MS)) { ids ->
         (node.askLeader(PeerMessage.Polls(ids), ANSWER_MS) as? PeerMessage.Stages)?.jobs
     }
 
     /** Records are read one by one, and no faster than leaves requests for the term, its pages and submissions. */
-    val records = JoinedQuestions<Looked>(node.scope, node.clock, Desk((1000 * READS / (node.settings.stateLimits.requestsPerS * SHARE)).toLong().coerceAtLeast(1), 1, PATIENCE_MS)) { ids ->
+    val records = JoinedQuestions<Looked>(node.scope, node.clock, Desk(readGapMs, 1, PATIENCE_MS)) { ids ->
         ids.associateWith { Looked(stored(it)) }
     }
 
-    fun census() = "polls: pressure %.2f at the leader, %.2f at the records, ${leader.refused() + records.refused()} refused".format(leader.pressure(), records.pressure())
+    /**
+     * Whether such a job was ever accepted, which nothing but its record tells: many at once, by a transaction that only compares. It takes no change,
+     * while a second record that is refused takes one.
+     */
+    val recorded = JoinedQuestions<Boolean>(node.scope, node.clock, Desk(readGapMs, node.settings.stateLimits.transactionWrites * CONDITIONS / KEYS, PATIENCE_MS)) { ids ->
+        val there = node.state.existing(ids.flatMap { listOf(Keys.job(it), Keys.final(it)) })
+        ids.associateWith { Keys.job(it) in there || Keys.final(it) in there }
+    }
+
+    fun census() = "polls: pressure %.2f at the leader, %.2f at the records, %.2f before the door, ${leader.refused() + records.refused() + recorded.refused()} refused".format(leader.pressure(), records.pressure(), recorded.pressure())
 
     private companion object {
         /** A lone question leaves at once; in a storm this joins what comes within a twenty-fifth of a second. */
@@ -31,6 +42,10 @@
         /** A record takes two requests at most. */
         const val READS = 2.0
 
+        /** The state service takes so many conditions for each write that a transaction may hold; a job may have two keys. */
+        const val CONDITIONS = 4
+        const val KEYS = 2
+
         /** The part of the state service's requests that polls of one node may use, however many nodes there are. */
         const val SHARE = 0.1
     }
--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -31,11 +31,14 @@
         override fun removeEldestEntry(eldest: Map.Entry<String, JobStatus>) = size > MAX_FINALS
     }
 
-    /** Polls that this node can't answer by itself; submissions and cancellations do not pass here. */
+    /** What this node can't answer by itself. */
     private val polls = Polls(node, ::stored)
 
     /** For the census: how much of their patience polls use up by waiting, and how many were refused since the last look. */
-    fun census() = polls.census()
+    fun census() = "${polls.census()}, $repeats submissions repeated".also { repeats = 0 }
+
+    /** Submissions of what was accepted already, since the last look. */
+    private var repeats = 0
 
     suspend fun handle(r: Request, forwarded: Boolean = false): Response {
         val id = r.path.removePrefix(RUNS).removePrefix("/").removeSuffix(CANCEL)
@@ -48,32 +51,51 @@
             }
         } catch (e: IOException) {
             node.log.debug("{} {}: {}", r.method, r.path, e.message)
-            later("the state service does not answer this node", id)
+            later(NO_STATE, id)
         }
     }
 
     private fun later(why: String, id: String) = later(why, retryAfterS(node.outageMs, id))
 
+    /**
+     * A repeat of what was accepted is a question, whatever its body has become: it passes no door, changes nothing, and is never refused as if it
+     * were new. Only what nobody has recorded is judged and let in.
+     */
     private suspend fun submit(r: Request, forwarded: Boolean): Response {
-        // Whether it is let in is decided before the rest is read: a refusal must cost little.
-        val head = JobCodec.head(r.body)
-        head?.let { known(it.id) }?.let { return accepted(200, head.id, it) }
+        val id = JobCodec.id(r.body) ?: return Response(400, Json.error("not an object with a valid Ref"))
+        known(id)?.let { return accepted(200, id, it) }
         // Refused by the state service alone: the leader decides and takes the job.
-        val forward = !forwarded && node.stateRefused
-        val verdict = if (head == null || forward) null else node.admission.ask(head)
-        if (verdict is Gate.Verdict.Refused) return later(verdict.why, maxOf(verdict.retryAfterS, retryAfterS(node.outageMs, head!!.id)))
+        if (!forwarded && node.stateRefused) return forward(r) ?: later("the state service refuses this node", id)
+        return when (val recorded = polls.recorded.of(id)) {
+            is Joined.Answered -> if (recorded.answer) repeated(id) else admit(r, id)
+            Joined.Shed -> later(TOO_MANY_POLLS)
+            Joined.Silence -> later(NO_STATE, id)
+        }
+    }
+
+    private suspend fun repeated(id: String): Response {
+        repeats++
+        return when (val told = ask(id)) {
+            is Told.Found -> accepted(200, id, told.status)
+            Told.Nothing -> later("the job is being written")
+            is Told.Unsure -> later(told.why, id)
+        }
+    }
+
+    /** Whether it is let in is decided before the rest is read: a refusal must cost little. */
+    private suspend fun admit(r: Request, id: String): Response {
+        val verdict = JobCodec.head(r.body)?.let(node.admission::ask)
+        if (verdict is Gate.Verdict.Refused) return later(verdict.why, maxOf(verdict.retryAfterS, retryAfterS(node.outageMs, id)))
         val rank = if (verdict is Gate.Verdict.Admitted && !verdict.credited) WriteRank.UNCREDITED else WriteRank.CREDITED
         val spec = try {
-            JobCodec.spec(Json.readObject(r.body))
+            JobCodec.spec(Json.readObject(r.body)).also { if (it.id != id) throw MalformedException("Ref is given twice") }
         } catch (e: MalformedException) {
             return Response(400, Json.error(e.message!!))
         }
-        known(spec.id)?.let { return accepted(200, spec.id, it) }
-        return when (val verdict = judge(spec)) {
+        return when (val judged = judge(spec)) {
             Verdict.UnknownYet -> later("not all is known yet that the job must be judged by")
-            // What was accepted once stays accepted, even if it could not be today.
-            is Verdict.Never -> stored(spec.id)?.let { accepted(200, spec.id, status(it)) } ?: Response(422, Json.error(verdict.why))
-            Verdict.Fits -> if (forward) forward(r) ?: later("the state service refuses this node", spec.id) else accept(spec, rank)
+            is Verdict.Never -> Response(422, Json.error(judged.why))
+            Verdict.Fits -> accept(spec, rank)
         }
     }
 
@@ -91,7 +113,8 @@
         val conditions = listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0))
         return when (node.state.commit(conditions, listOf(Write(Keys.job(spec.id), record)), rank, spec.team)) {
             is WriteOutcome.Applied -> accepted(201, spec.id, JobStatus(JobStage.ACTIVE, 0, 0))
-            WriteOutcome.Refused -> stored(spec.id)?.let { accepted(200, spec.id, status(it)) } ?: later("the job is being written")
+            // Accepted elsewhere a moment ago.
+            WriteOutcome.Refused -> repeated(spec.id)
             WriteOutcome.Unknown -> later("not known to be written", spec.id)
         }
     }
@@ -99,27 +122,42 @@
     private fun accepted(status: Int, id: String, job: JobStatus) =
         Response(status, JobCodec.answer(id, job, counts = false))
 
+    private suspend fun poll(id: String): Response = when (val told = ask(id)) {
+        is Told.Found -> Response(200, JobCodec.answer(id, told.status, counts = true))
+        Told.Nothing -> Response(404)
+        is Told.Unsure -> later(told.why, id)
+    }
+
+    /** What can be told of a job now. */
+    private sealed interface Told {
+        class Found(val status: JobStatus) : Told
+
+        data object Nothing : Told
+
+        class Unsure(val why: String) : Told
+    }
+
     /** Joined with other users' questions where it takes somebody else's answer; never with one that is on its way already. */
-    private suspend fun poll(id: String): Response {
+    private suspend fun ask(id: String): Told {
         known(id)?.let { return found(id, it) }
         if (node.leaderWorthAsking) {
             when (val told = polls.leader.of(id)) {
                 is Joined.Answered -> return found(id, told.answer)
-                Joined.Shed -> return later(TOO_MANY_POLLS)
+                Joined.Shed -> return Told.Unsure(TOO_MANY_POLLS)
                 // It is not sure, or does not answer: the record is.
                 Joined.Silence -> Unit
             }
         }
         return when (val read = polls.records.of(id)) {
-            is Joined.Answered -> read.answer.job?.let { found(id, status(it)) } ?: Response(404)
-            Joined.Shed -> later(TOO_MANY_POLLS)
-            Joined.Silence -> later("the state service does not answer this node", id)
+            is Joined.Answered -> read.answer.job?.let { found(id, status(it)) } ?: Told.Nothing
+            Joined.Shed -> Told.Unsure(TOO_MANY_POLLS)
+            Joined.Silence -> Told.Unsure(NO_STATE)
         }
     }
 
-    private fun found(id: String, status: JobStatus): Response {
+    private fun found(id: String, status: JobStatus): Told {
         if (status.stage != JobStage.ACTIVE) finals[id] = status
-        return Response(200, JobCodec.answer(id, status, counts = true))
+        return Told.Found(status)
     }
 
     private suspend fun cancel(id: String, forwarded: Boolean): Response {
@@ -179,6 +217,7 @@
         }
 
         const val RUNS = "/v2/runs"
+        private const val NO_STATE = "the state service does not answer this node"
         private const val TOO_MANY_POLLS = "too many questions are waiting"
         const val NO_LEADER = "no node is sure to hold the term"
         private const val CANCEL = "/cancel"
--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -96,6 +96,21 @@
         }
     }
 
+    /** Which of [keys] there are, by transactions that only compare: they take no change. */
+    suspend fun existing(keys: Collection<String>): Set<String> {
+        val there = HashSet<String>()
+        while (there.size < keys.size) {
+            val r = ask("POST", "/commit", StateCodec.commit(keys.filter { it !in there }.map { Condition(it, 0) }, emptyList()))
+            if (r.status != 409) {
+                ok(r)
+                break
+            }
+            // Whether one or all that failed are named, nothing but success says that the rest is not there.
+            if (!there.addAll(parse { StateCodec.failed(r.body) })) throw StateUnavailableException("state service: a refusal that names no key")
+        }
+        return there
+    }
+
     /** All entries under [prefix], with the revision of the first page, from which changes can be followed. */
     suspend fun scan(prefix: String): Pair<List<Entry>, Long> {
         val all = ArrayList<Entry>()
--- a/src/main/kotlin/org/honeyjunction/wire/JobCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/JobCodec.kt
@@ -41,6 +41,23 @@
         )
     }
 
+    /** The id that a submission is about, whatever else is wrong with it; null where it names none. */
+    fun id(body: ByteArray): String? {
+        try {
+            Json.parser(body).use { p ->
+                if (p.nextToken() != JsonToken.START_OBJECT) return null
+                while (p.nextToken() == JsonToken.FIELD_NAME) {
+                    val name = p.currentName()
+                    if (p.nextToken() == JsonToken.VALUE_STRING && name == "Ref") return p.text.takeIf(::isId)
+                    p.skipChildren()
+                }
+            }
+        } catch (_: IOException) {
+            return null
+        }
+        return null
+    }
+
     /** Read without the rest, which costs several times as much; null where it is not to be had this way, whatever is wrong. */
     fun head(body: ByteArray): JobHead? {
         val seen = HashMap<String, String>()
