A cancellation whose term ends is put off with an answer, not by a reset connection

Cause: when a term ends, those who wait for its cancellations are released by cancelling what they wait for; the exception ended the user's connection, and that of the controller that had handed the request on, without an answer. Change: whoever waits looks at how it ended, and answers 503.

--- a/src/main/kotlin/org/honeyjunction/app/UserApi.kt
+++ b/src/main/kotlin/org/honeyjunction/app/UserApi.kt
@@ -1,7 +1,6 @@
 package org.honeyjunction.app
 
-import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.honeyjunction.core.admission.Gate
 import org.honeyjunction.core.control.JobStatus
 import org.honeyjunction.core.control.StoredJob
@@ -171,11 +170,10 @@
             driver.leader.jobSeen(job, node.clock.steady(), node.clock.wall())
             waiter = driver.cancel(id) ?: return later(NO_LEADER)
         }
-        val stage = try {
-            withTimeout(CANCEL_MS) { waiter.await() }
-        } catch (_: TimeoutCancellationException) {
-            return later("the cancellation is being written")
-        }
+        withTimeoutOrNull(CANCEL_MS) { waiter.join() }
+        // Without a stage it ends with the term: whoever leads next is asked again.
+        if (!waiter.isCompleted || waiter.isCancelled) return later("the cancellation is being written")
+        val stage = waiter.await()
         val status = JobStatus(stage, driver.leader.status(id)?.done ?: 0, 0)
         finals[id] = status
         return Response(200, JobCodec.answer(id, status, counts = false))
