--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -2,11 +2,13 @@
 
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.ClusterState
+import org.honeyjunction.core.control.Command
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
 import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.control.Obstacle
+import org.honeyjunction.core.control.Report
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.TaskState
 import org.honeyjunction.core.control.Tuning
@@ -98,6 +100,36 @@
     /** Of so many in a hundred reports a copy arrives once more, up to two leases later. */
     var lateReports = 0
 
+    /** Of so many in a hundred reports a copy is kept, and reaches the next leader among the first that it hears. */
+    var keptReports = 0
+    private val kept = ArrayList<Report>()
+
+    /** How often the first word that a leader heard of a machine was such a copy. */
+    var oldFirstWords = 0
+        private set
+
+    /** Of so many in a hundred writes the answer never comes: they are carried out some seconds late, or at once. */
+    var lateWrites = 0
+    var unansweredWrites = 0
+    var writesLate = 0
+        private set
+
+    /** So many in a hundred commands are held up for seconds, and not answered. */
+    var heldCommands = 0
+
+    /** The cloud's lists are up to twice as old as they mostly are, and may come in any order. */
+    var oldLists = false
+
+    /** How often a start that was on its way when its job's cancellation was confirmed was carried out after that. */
+    var startsInFlight = 0
+        private set
+    private var waits: Waits? = null
+
+    /** From now on nothing is wrong any more: no job may wait for long beside room. */
+    fun calm() {
+        waits = Waits(setup.limits.mapValues { Resources(0.0, it.value, 0.0) }, watch::note)
+    }
+
     /** All machines of [zone] that are up lose the network together. */
     fun cut(zone: String, forMs: Long) = workers.values.filter { it.box.zone == zone && !it.dead }.forEach { it.cutUntil = now + forMs }
 
@@ -190,7 +222,22 @@
     /** A new term begins; the old leader's writes do not count any more, though it may not know. */
     fun elect() {
         state.term++
-        leader = Core(state.term).also(::tick)
+        val core = Core(state.term)
+        leader = core
+        kept.forEach { report -> at(if (random.nextBoolean()) 0 else random.nextInt(OLD_WORDS_MS).toLong()) { core.run { oldWord(report) } } }
+        kept.clear()
+        tick(core)
+    }
+
+    private fun Leader.oldWord(report: Report) {
+        if (state.machine(report.machine).let { it == null || it.lastHeardAt < state.startedAt }) oldFirstWords++
+        hello(report, now)
+    }
+
+    /** The leader ends, and another takes the term at once. */
+    fun handOver() {
+        leader?.alive = false
+        elect()
     }
 
     private fun tick(core: Core) {
@@ -223,6 +270,18 @@
 
     fun cancel(id: String) = leader?.run { cancel(id, now) }
 
+    /** Its user asks until it is confirmed, whoever leads. */
+    fun cancelUntilConfirmed(id: String) {
+        when (state.finals[id]?.stage) {
+            JobStage.CANCELLED -> watch.cancelledAt.putIfAbsent(id, now)
+            JobStage.DONE -> Unit
+            else -> {
+                cancel(id)
+                at(ASK_AGAIN_MS) { cancelUntilConfirmed(id) }
+            }
+        }
+    }
+
     private fun work(id: String) = (state.jobs[id] ?: state.finals[id])?.let { Work(it.spec, it.spec.estimateS, it.spec.jobClass == "faulty") }
 
     private fun carryOut(core: Core, e: Effect) {
@@ -246,8 +305,16 @@
     /** Writes are answered, or their answer is lost, or they are held back and applied late, if their conditions still hold. */
     private fun commit(core: Core, e: Effect.Commit) {
         if (core.cutOff) return at(heldBackMs()) { state.commit(core.term, e.changes) }
-        val fate = if (e.changes.any { it is Change.JobOver }) 50 else random.nextInt(50)
-        if (fate == 0) at(3_000L + random.nextInt(5_000)) { state.commit(core.term, e.changes) }
+        val fate = when {
+            e.changes.any { it is Change.JobOver } -> 50
+            lateWrites > 0 && random.nextInt(100) < lateWrites -> 0
+            unansweredWrites > 0 && random.nextInt(100) < unansweredWrites -> 1
+            else -> random.nextInt(50)
+        }
+        if (fate == 0) at(3_000L + random.nextInt(5_000)) {
+            writesLate++
+            state.commit(core.term, e.changes)
+        }
         at(latency()) {
             val version = if (fate == 0) null else state.commit(core.term, e.changes)
             val answered = version?.takeIf { fate > 1 }
@@ -268,14 +335,18 @@
     /** Commands reach the worker, or come much later: held back by a cut or a hanging machine. */
     private fun deliver(core: Core, e: Effect.Send) {
         val w = workers[e.machine]
-        val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard
+        val starts = e.commands.filterIsInstance<Command.Start>().filter { it.task.substringBeforeLast('/') in watch.cancelledAt }
+        if (starts.isNotEmpty()) watch.note(now, "started_cancelled: ${starts.map { it.task }} by term ${core.term}")
+        val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard || heldCommands > 0 && random.nextInt(100) < heldCommands
         if (held && resets) return at(200) { core.run { commandUnanswered(e.id, now) } }
         val lost = core.unheard || w != null && now < w.deafUntil
         val delay = if (held && w != null) maxOf(w.hungUntil, w.cutUntil, now) - now + random.nextInt(30_000) else latency()
         if (!lost) at(delay) {
             val there = workers[e.machine]?.takeIf { !it.silent(now) } ?: return@at
             there.advance(now)
+            val cancelled = e.commands.filter { it is Command.Start && it.task !in there.tasks && it.task.substringBeforeLast('/') in watch.cancelledAt }
             val done = there.command(e.token, e.session, e.commands, now)
+            if (done) startsInFlight += cancelled.size
             val report = there.report()
             if (!held) at(latency()) { core.run { if (done) commandExecuted(e.id, report, now) else commandRejected(e.id, report, now) } }
         }
@@ -301,7 +372,7 @@
     private fun list(core: Core) {
         val seen = workers.values.map { Listed(it.name, "10.1.0.1:1", setup.type.name, it.box.zone, it.box.spot, it.dead, 9.0) } +
             booting.map { (name, b) -> Listed(name, null, setup.type.name, b.second, b.third, false, 1.0) }
-        at(setup.listLagMs) { core.run { listed(seen, now) } }
+        at(setup.listLagMs + if (oldLists) random.nextInt(setup.listLagMs.toInt()) else 0) { core.run { listed(seen, now) } }
     }
 
     private fun hello(w: Worker) {
@@ -311,6 +382,7 @@
         val sentAt = now
         // A report that is held back arrives late, at whoever holds the term by then.
         val delay = if (now < w.cutUntil) w.cutUntil - now + random.nextInt(20_000) else latency()
+        if (keptReports > 0 && random.nextInt(100) < keptReports) kept += report
         if (lateReports > 0 && random.nextInt(100) < lateReports) at(2_000L + random.nextInt(2 * setup.workerLeaseMs.toInt())) { leader?.run { hello(report, now) } }
         at(delay) {
             val core = (homes[w.name]?.takeIf { it.alive } ?: leader)?.takeIf { it.alive && it.reachable } ?: return@at
@@ -365,6 +437,7 @@
     private fun check() {
         if (now % 1000 == 0L) leader?.let { recount(it.leader.state) }
         watch.check(workers.values, now)
+        if (now % 1000 == 0L) leader?.takeIf { it.alive }?.leader?.state?.let { s -> waits?.check(s.active.values, workers.values, now) }
         if (now % 1000 == 0L) leader?.takeIf { it.alive && it.reachable && now >= it.frozenUntil }?.leader?.starved(now)?.forEach { (group, t) ->
             watch.note(now, "starved: of $group only ${t.started} of ${t.accepted} jobs were started beside free machines")
         }
@@ -377,5 +450,9 @@
         private const val NODE = "n"
         private const val OTHER = "m"
         private const val VOUCH_MS = 500L
+        private const val ASK_AGAIN_MS = 1_000L
+
+        /** By then a new leader has heard all machines that can be heard. */
+        private const val OLD_WORDS_MS = 3_000
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/sim/YoungMachinesTest.kt
@@ -0,0 +1,76 @@
+package org.honeyjunction.sim
+
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.emulator.Setup
+import org.honeyjunction.emulator.World
+import org.honeyjunction.standin.Worker
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** Machines are up within two seconds and have work at once, while writes lag and their answers are lost, and the leader ends: the next one knows of them by their pages alone. */
+class YoungMachinesTest {
+    private fun World.young(since: Map<String, Long>): List<Worker> =
+        workers.values.filter { w -> !w.dead && now - since.getValue(w.name) < 2_000 && w.tasks.values.any { it.live } }
+
+    @ParameterizedTest(name = "{0}, {1}, seed {2}")
+    @CsvSource(
+        "heard,    hand over, 1", "heard,    hand over, 2", "heard,    crash, 3", "heard,    crash, 4", "heard,    cut off, 5", "heard,    cut off, 6",
+        "cut,      hand over, 7", "cut,      hand over, 8", "cut,      crash, 9", "cut,      crash, 10", "cut,      cut off, 11", "cut,      cut off, 12",
+        "deaf,     hand over, 13", "deaf,     crash, 14", "deaf,     cut off, 15", "hanging,  hand over, 16", "hanging,  crash, 17", "hanging,  cut off, 18",
+    )
+    fun `a machine that the next leader has never heard of has tasks`(there: String, change: String, seed: Long) {
+        val w = World(seed, capacity = 14, setup = Setup(limits = mapOf("a" to 14.0, "b" to 10.0), listLagMs = 8_000))
+        w.bootFactor = 0.25
+        w.oldLists = true
+        w.lateWrites = 25
+        w.unansweredWrites = 15
+        w.heldCommands = 4
+        w.elect()
+        val upSince = HashMap<String, Long>()
+        val jobs = ArrayList<String>()
+        var onlyByPage = 0
+        var unlisted = 0
+        repeat(4) { round ->
+            jobs += w.submit(10 * round + 1, JobKind.ARRAY, 6, "a", gpus = 2, seconds = 5.0)
+            jobs += w.submit(10 * round + 2, JobKind.ARRAY, 9, "b", seconds = 14.0)
+            jobs += w.submit(10 * round + 3, JobKind.GANG, 2, "b", gpus = 4, oneZone = true, seconds = 6.0)
+            for (step in 0 until 600) {
+                w.run(20)
+                w.workers.keys.forEach { upSince.putIfAbsent(it, w.now) }
+                val young = w.young(upSince)
+                if (young.isEmpty()) continue
+                when (there) {
+                    "cut" -> young.forEach { it.cutUntil = w.now + 9_000 }
+                    "deaf" -> young.forEach { it.deafUntil = w.now + 9_000 }
+                    "hanging" -> young.forEach { it.hungUntil = w.now + 8_000 }
+                }
+                when (change) {
+                    "hand over" -> w.handOver()
+                    "crash" -> w.crash()
+                    else -> w.cutOff()
+                }
+                if (change == "hand over") {
+                    val known = young.map { w.leader!!.leader.state.machine(it.name) }
+                    onlyByPage += known.count { it != null && it.address == null && it.placements.isNotEmpty() }
+                    unlisted += known.size
+                }
+                break
+            }
+            w.run(13_000)
+        }
+        if (change == "hand over") assertTrue(onlyByPage > 0, "$onlyByPage of $unlisted young machines were known by their pages alone")
+        assertTrue(w.writesLate > 2, "${w.writesLate} writes were carried out late")
+        w.lateWrites = 0
+        w.unansweredWrites = 0
+        w.heldCommands = 0
+        w.run(30_000)
+        w.calm()
+        w.run(220_000)
+        assertEquals(emptyList<String>(), w.broken)
+        assertEquals(emptyList<String>(), jobs.filter { w.state.finals[it]?.stage != JobStage.DONE }, "each has run")
+        assertTrue(w.paid().let { it.first + it.second } <= 3, "machines are used or returned: ${w.workers.keys}, ${w.booting()} booting")
+    }
+}
