A machine whose room the plan gives to waiting work of the least priority is not reserved

Waiting work goes first in a plan, what is expected comes after; but a floor stands on a machine as a whole, so that the least priority waited beside the room that the plan had given it, for as long as arrivals were expected.

--- a/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
+++ b/src/main/kotlin/org/honeyjunction/core/capacity/Planner.kt
@@ -98,6 +98,9 @@
         val rent = LinkedHashMap<Offer, Int>()
         val held = HashMap<Int, Int>()
         val reserved = HashSet<Int>()
+
+        /** Machines of whose room this plan gives a part to waiting work of the least priority: a floor would keep it from there for ever. */
+        val idle = HashSet<Int>()
         private val together = ArrayList<Pair<Bin, Double>>()
 
         /**
@@ -164,7 +167,8 @@
             if (left == 0) break
             val here = minOf(left, sample.need.countIn(bin.free))
             if (bin.empty && !bin.needed && bin.machine >= 0 && sample.gangOf > 0) work.held[bin.machine] = sample.job
-            if (reserve && bin.machine >= 0) work.reserved += bin.machine
+            if (!reserve && sample.priority == Priority.LOW) work.idle += bin.machine
+            if (reserve && bin.machine >= 0 && bin.machine !in work.idle) work.reserved += bin.machine
             left -= take(bin, w, here, work)
         }
         if (left > 0) work.full.note(sample, zone)
--- a/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/PlannerTest.kt
@@ -72,4 +72,13 @@
         val plan = Planner(types) { false }.plan(emptyList(), listOf(Expected(Wanted(row(0, true), 2), atOnce = true, tight)), listOf(Bin(7, spot, size, true)), emptyMap())
         assertEquals(reserved, plan.reserved.toString())
     }
+
+    /** What of the least priority has room in the plan must be able to start there: the floor of a reserved machine would keep it waiting beside it. */
+    @ParameterizedTest(name = "{0} waits: reserved {1}")
+    @CsvSource("LOW, '[]'", "NORMAL, '[7]'")
+    fun `a machine that waiting work of the least priority has room on is not reserved`(priority: Priority, reserved: String) {
+        val waiting = Wanted(row(0, true).copy(priority = priority), 1)
+        val plan = Planner(types) { false }.plan(listOf(waiting), listOf(Expected(Wanted(row(0, true), 2), atOnce = true, tight = true)), listOf(Bin(7, spot, size, true)), emptyMap())
+        assertEquals(reserved, plan.reserved.toString())
+    }
 }
