--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -344,7 +344,7 @@
         val w = workers[e.machine]
         val starts = e.commands.filterIsInstance<Command.Start>().filter { it.task.substringBeforeLast('/') in watch.cancelledAt }
         if (starts.isNotEmpty()) watch.note(now, "started_cancelled: ${starts.map { it.task }} by term ${core.term}")
-        val apart = w != null && !links.hears(w, core)
+        val apart = w != null && !(links.commands(w) && links.hears(w, core))
         val held = w == null || w.silent(now) || now < w.cutUntil || now < w.deafUntil || !core.reachable || core.unheard || apart || heldCommands > 0 && random.nextInt(100) < heldCommands
         if (held && resets) return at(200) { core.run { commandUnanswered(e.id, now) } }
         val lost = core.unheard || w != null && now < w.deafUntil || apart
