--- a/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalCluster.kt
@@ -183,14 +183,14 @@
         place.close()
     }
 
-    private companion object {
-        const val MAX_CLAUSE = 20_000
-        const val FEW = 3
+    companion object {
+        private const val MAX_CLAUSE = 20_000
+        private const val FEW = 3
 
         /** By then a trouble that waits for a moment comes without it. */
         const val MOMENT_MS = 20_000L
 
         /** Where an address is only a placeholder. */
-        const val NOWHERE = "127.0.0.1:1"
+        private const val NOWHERE = "127.0.0.1:1"
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/local/LocalSettings.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalSettings.kt
@@ -75,6 +75,13 @@
         },
     )
 
+    /** The same cluster with no team above [gpus]. */
+    fun limited(gpus: Double): LocalSettings {
+        val p = params.deepCopy()
+        p.list("teams").forEach { (it as ObjectNode).put("gpus_max", gpus).put("gpus", gpus / 2) }
+        return LocalSettings(p, zones, machines)
+    }
+
     fun name(number: Int) = "hive-$number"
 
     fun loopback(sample: Settings): LoopbackSettings {
--- a/src/main/kotlin/org/honeyjunction/app/local/Search.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -12,8 +12,22 @@
 import java.util.Random
 
 /** A short day of a whole cluster: what users bring, and what goes wrong. Its seed decides all else. */
-class ShortDay(val seed: Long, val jobs: List<PlannedJob>, val faults: List<Fault>) {
-    fun without(fault: Fault) = ShortDay(seed, jobs, faults - fault)
+class ShortDay(val seed: Long, val kind: Kind, val jobs: List<PlannedJob>, val faults: List<Fault>) {
+    enum class Kind {
+        SHORT,
+
+        /** Every team is at its limit. */
+        AT_LIMITS,
+
+        /** Two minutes of one-task jobs, four a second. */
+        LONG;
+
+        companion object {
+            fun of(seed: Long) = if (seed % 25 == 24L) LONG else if (seed % 4 == 3L) AT_LIMITS else SHORT
+        }
+    }
+
+    fun without(fault: Fault) = ShortDay(seed, kind, jobs, faults - fault)
 }
 
 /** What came of a day. */
@@ -28,8 +42,8 @@
 class VirtualCluster(private val settings: LocalSettings, private val controllers: Int, private val tuning: Tuning, private val tell: (String) -> Unit = {}) {
     fun play(day: ShortDay): Played {
         val place = VirtualPlace(day.seed)
-        val cluster = LocalCluster(settings, controllers, tuning, day.seed, day.jobs, tell, place = place)
-        val troubledUntil = day.faults.maxOfOrNull { it.atMs + it.forMs } ?: 0
+        val cluster = LocalCluster(if (day.kind == ShortDay.Kind.AT_LIMITS) settings.limited(LIMIT) else settings, controllers, tuning, day.seed, day.jobs, tell, place = place)
+        val troubledUntil = day.faults.maxOfOrNull { it.atMs + it.forMs + if (it.on == null) 0 else LocalCluster.MOMENT_MS } ?: 0
         cluster.users.troubledUntil = troubledUntil
         cluster.start(day.faults)
         day.jobs.forEach { cluster.users.follow(it) }
@@ -37,6 +51,9 @@
         val end = maxOf(troubledUntil, day.jobs.maxOf { maxOf(it.atMs, it.cancelAtMs ?: 0) }) + AFTER_MS
         while (place.time.now < end && watch.broken.isEmpty() && place.failures.isEmpty()) {
             place.time.runUntil(place.time.now + STEP_MS)
+            if (place.time.now > troubledUntil) {
+                watch.checkWaiting(cluster.users.jobs.filter { it.stage == Users.Stage.ACCEPTED && !it.cancelWanted }.map { it.spec }, cluster.loopback.workers, place.time.now)
+            }
             if (place.time.now > troubledUntil + SETTLE_MS && cluster.users.jobs.all { it.over || it.stage == Users.Stage.ACCEPTED && lasting(it) }) break
         }
         place.failures.firstOrNull()?.let { watch.note(place.time.now, "failed: $it at ${it.stackTrace.firstOrNull()}") }
@@ -44,7 +61,7 @@
         cluster.loopback.later(cluster.users::askAgain)
         place.time.runUntil(place.time.now + ASK_AGAIN_MS)
         if (watch.started == 0 && watch.broken.isEmpty()) watch.note(place.time.now, "nothing_ran")
-        val open = cluster.users.jobs.filter { !(it.over && it.stage != Users.Stage.REFUSED) && !(it.stage == Users.Stage.ACCEPTED && lasting(it)) }
+        val open = if (watch.broken.isNotEmpty()) emptyList() else cluster.users.jobs.filter { !(it.over && it.stage != Users.Stage.REFUSED) && !(it.stage == Users.Stage.ACCEPTED && lasting(it)) }
         return Played(watch.broken.toList(), open.map { "${it.spec.id} ${it.stage}${known(cluster, it.spec.id)}" }, cluster.loopback.term(), watch.cancelledAt.size, cluster.loopback.lateWrites, watch.started, place.time.now, reached(cluster))
     }
 
@@ -52,6 +69,7 @@
     private fun reached(cluster: LocalCluster) = mapOf(
         "answers lost" to cluster.loopback.unanswered, "kept reports delivered" to cluster.loopback.keptDelivered, "close questions" to cluster.users.pressing.looks,
         "jobs called off at the worst moments" to cluster.users.pressing.calledOff, "starts after a cancellation" to cluster.loopback.watch.startedCancelled,
+        "looks at a team at its limit" to cluster.loopback.watch.atLimit,
     )
 
     /** What the leader knows of a job that it should have served. */
@@ -66,6 +84,7 @@
 
     private companion object {
         const val STEP_MS = 1_000L
+        const val LIMIT = 8.0
         const val SETTLE_MS = 5_000L
         const val ASK_AGAIN_MS = 8_000L
 
@@ -93,10 +112,12 @@
     /** How often two troubles met in the days drawn so far. */
     val meetings = sortedMapOf<String, Int>()
 
-    /** The day of [seed]; with [faults], if there are any, instead of those that it would draw. */
+    /** The day of [seed]; with [given], if there are any, instead of the troubles that it would draw. */
     fun draw(seed: Long, given: List<Fault> = emptyList()): ShortDay {
         val random = Random(seed)
-        val count = 2 + random.nextInt(4)
+        val dayKind = ShortDay.Kind.of(seed)
+        val long = dayKind == ShortDay.Kind.LONG
+        val count = (if (long) 5 else 2) + random.nextInt(4)
         var at = 5_000L + random.nextInt(9_000)
         val drawn = ArrayList<Kind>()
         val faults = ArrayList<Fault>()
@@ -110,21 +131,38 @@
             at += GAPS_MS[random.nextInt(GAPS_MS.size)] + random.nextInt(400)
         }
         for (a in drawn.indices) for (b in 0 until a) meetings.merge(listOf(drawn[a].name, drawn[b].name).sorted().joinToString(" + "), 1, Int::plus)
-        return ShortDay(seed, jobs(random), given.ifEmpty { faults })
+        val jobs = when (dayKind) {
+            ShortDay.Kind.SHORT -> jobs(random, JOBS, 1)
+            ShortDay.Kind.AT_LIMITS -> jobs(random, JOBS * 2, 2)
+            ShortDay.Kind.LONG -> List(LONG_JOBS) { small(random, it) }
+        }
+        return ShortDay(seed, dayKind, jobs, given.ifEmpty { faults })
+    }
+
+    private fun job(n: Int, kind: JobKind, tasks: Int, need: Resources, runS: Double, checkpointS: Double, atMs: Long, cancelAtMs: Long?): PlannedJob {
+        val spec = JobSpec(
+            "j-%06d".format(n + 1), kind.name.lowercase(), teams[n % teams.size], kind, if (kind == JobKind.SERVICE) Priority.PRODUCTION else Priority.NORMAL, tasks,
+            need, "i${n % 3}", 2.0, null, null, kind == JobKind.GANG, kind == JobKind.SERVICE, kind == JobKind.ARRAY, runS, checkpointS, 1.0, null,
+        )
+        return PlannedJob(Work(spec, runS), atMs, cancelAtMs)
     }
 
-    private fun jobs(random: Random) = List(JOBS) { n ->
+    private fun jobs(random: Random, count: Int, more: Int) = List(count) { n ->
         val kind = when (n % 5) { 0 -> JobKind.SERVICE; 1 -> JobKind.GANG; else -> JobKind.ARRAY }
         val runS = if (n % 4 == 3) 40.0 + random.nextInt(40) else 2.0 + random.nextInt(14)
         val atMs = random.nextInt(20_000).toLong()
         val tasks = if (kind == JobKind.ARRAY && n % 3 == 0) 6 + random.nextInt(8) else 1 + random.nextInt(3)
-        val cancels = n % 4 == 3 || random.nextInt(5) == 0
-        val spec = JobSpec(
-            "j-%06d".format(n + 1), kind.name.lowercase(), teams[n % teams.size], kind, if (kind == JobKind.SERVICE) Priority.PRODUCTION else Priority.NORMAL, tasks,
-            Resources(2.0, if (n % 2 == 0) 1.0 else 2.0, 4.0), "i${n % 3}", 2.0, null, null, kind == JobKind.GANG, kind == JobKind.SERVICE, kind == JobKind.ARRAY, runS,
-            if (n % 2 == 0) 3.0 else 0.0, 1.0, null,
-        )
-        PlannedJob(Work(spec, runS), atMs, if (cancels) atMs + 3_000 + random.nextInt(40_000) else null)
+        val cancels = kind == JobKind.SERVICE && more > 1 || n % 4 == 3 || random.nextInt(5) == 0
+        val cancelAtMs = if (cancels) atMs + 3_000 + random.nextInt(40_000) else null
+        job(n, kind, tasks, Resources(2.0, if (n % 2 == 0) 1.0 else 2.0, 4.0), runS, if (n % 2 == 0) 3.0 else 0.0, atMs, cancelAtMs)
+    }
+
+    /** One task of a few seconds; a quarter is cancelled, of those some at once and some as they end. */
+    private fun small(random: Random, n: Int): PlannedJob {
+        val runS = 1.0 + random.nextInt(5)
+        val atMs = n * 250L + random.nextInt(250)
+        val afterMs = listOf(0L, (runS * 1_000).toLong(), 500L + random.nextInt(6_000))[random.nextInt(3)]
+        return job(n, JobKind.ARRAY, 1, Resources(2.0, 1.0, 4.0), runS, 0.0, atMs, if (random.nextInt(4) == 0) atMs + afterMs else null)
     }
 
     /** The fewest troubles of [day] with which the same goes wrong. */
@@ -146,6 +184,7 @@
 
     private companion object {
         const val JOBS = 10
+        const val LONG_JOBS = 480
         const val MOMENT_ONE_IN = 4
         val GAPS_MS = listOf(0, 300, 1_000, 2_500, 5_000, 6_500, 9_000, 15_000)
     }
--- a/src/main/kotlin/org/honeyjunction/standin/Watch.kt
+++ b/src/main/kotlin/org/honeyjunction/standin/Watch.kt
@@ -28,9 +28,14 @@
     var startedCancelled = 0
         private set
 
+    /** How often a team was seen with no room for another such task below its limit. */
+    var atLimit = 0
+        private set
+
     /** The newest that each job's user has been told. */
     private val newest = HashMap<String, Answer>()
     private val before = HashMap<String, Pair<String, Long>>()
+    private val waiting = Waiting(limits)
 
     /** The latest start of every task. */
     val starts = HashMap<String, Start>()
@@ -51,6 +56,7 @@
         for ((team, of) in live.groupBy { it.task.spec.team }) {
             val limit = limits[team] ?: continue
             val used = of.fold(Resources.NONE) { sum, l -> sum + l.task.spec.need }
+            if (limit.gpus > 0 && used.gpus + of[0].task.spec.need.gpus > limit.gpus) atLimit++
             if (limit.gpus > 0 && used.gpus > limit.gpus + 1e-6 || limit.cpus > 0 && used.cpus > limit.cpus + 1e-6) note(now, "quota: $team uses $used")
         }
         for (w in workers) {
@@ -86,6 +92,10 @@
         if (answer >= Answer.ACTIVE && (known == null || answer > known)) newest[spec.id] = answer
     }
 
+    /** Once the troubles are over, none of the jobs [open] may be left waiting beside machines that have room for it. */
+    fun checkWaiting(open: List<JobSpec>, workers: Collection<Worker>, now: Long) =
+        waiting.longerThan(WAITING_MS, open, workers, completed, now).forEach { note(now, "waits: ${it.id} beside room for it and under its team's limit") }
+
     private fun started(here: Live, mates: List<Live>, now: Long) {
         started++
         val spec: JobSpec = here.task.spec
@@ -106,5 +116,6 @@
 
     private companion object {
         const val MAX_BROKEN = 100
+        const val WAITING_MS = 90_000L
     }
 }
--- a/src/test/kotlin/org/honeyjunction/emulator/DayTest.kt
+++ b/src/test/kotlin/org/honeyjunction/emulator/DayTest.kt
@@ -52,6 +52,9 @@
         "at 3s isolate leader for 8s, 3000, ISOLATE, 8000", "at 3s refuse holder for 8s, 3000, REFUSE, 8000", "at 3s deafen zone x for 9s, 3000, DEAFEN, 9000",
         "at 3s delay writes for 9s, 3000, DELAY, 9000", "at 3s repeat reports for 9s, 3000, REPEAT, 9000",
         "at 3s slow boots for 60s, 3000, SLOW, 60000", "at 3s lose boots, 3000, LOSE, 4000", "at 0.5s storm polls for 20s, 500, STORM, 20000",
+        "at 3s lose answers for 9s, 3000, LOSE, 9000", "at 3s on term keep reports for 9s, 3000, KEEP, 9000", "at 3s on write kill leader for 9s, 3000, KILL, 9000", "at 3s close looks for 9s, 3000, CLOSE, 9000",
+        "at 3s on end cancel 4 jobs for 9s, 3000, CANCEL, 9000", "at 3s cancel ends for 9s, 3000, CANCEL, 9000", "at 3s cancel accepted for 9s, 3000, CANCEL, 9000", "at 3s mute zone x for 9s, 3000, MUTE, 9000",
+        "at 3s mute 4 machines for 9s, 3000, MUTE, 9000", "at 3s hurry boots for 9s, 3000, HURRY, 9000", "at 3s lag lists for 9s, 3000, LAG, 9000", "at 3s odd requests for 9s, 3000, ODD, 9000",
     )
     fun `troubles of many machines`(text: String, atMs: Long, what: Fault.What, forMs: Long) {
         val f = Fault.parse(text)
@@ -60,7 +63,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = ["at 2s refuse zone x", "at 2s cut leader", "at 2s kill machines", "at 2s kill 1000000 machines", "at 2s hang zone", "2s kill machine", "at 2s kill boots", "at 2s slow polls", "at 2s storm machine", "at 2s refuse polls", "at 2s isolate machine", "at 2s deafen leader", "at 2s delay reports"])
+    @ValueSource(strings = ["at 2s refuse zone x", "at 2s cut leader", "at 2s kill machines", "at 2s kill 1000000 machines", "at 2s hang zone", "2s kill machine", "at 2s kill boots", "at 2s slow polls", "at 2s storm machine", "at 2s refuse polls", "at 2s isolate machine", "at 2s deafen leader", "at 2s delay reports", "at 2s lose reports", "at 2s keep writes", "at 2s cancel machines", "at 2s close ends", "at 2s on start kill leader", "at 2s on end 4 jobs"])
     fun `what is no trouble`(text: String) {
         assertThrows(IllegalArgumentException::class.java) { Fault.parse(text) }
     }
