A final record in doubt is a state of its own: nothing told or started from memory, settled by reading it

A final record whose write got no answer was taken for one not written: the job was active again in the leader's memory until the next try, which told ACTIVE beside a record that others read as cancelled where that try had to wait (a task on a machine that had not shown the token), and a try that was refused by an earlier one with another final state gave the term up ("a record differs").

core.model.FinalRecord names the states (open, writing, in doubt, being read, not yet, recorded) and says what may be told in each. The core asks for the record (Effect.ReadRecord) after a write without an answer or refused, takes over whatever stands, and tries again on condition of the same version where it is still active, since the earlier try may be carried out yet. The driver reads two records at a time at most. Users who wait for a cancellation when the term ends are answered at once to come again, where their request's coroutine was cancelled.

--- a/src/main/kotlin/org/honeyjunction/app/LeaderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/LeaderDriver.kt
@@ -9,10 +9,13 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import org.honeyjunction.core.admission.FinalRecords
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.JobRecord
 import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.model.JobStage
@@ -53,6 +56,9 @@
     private val workers = Connections(loop, leader.state.cluster.maxSends, perAddress = 1)
     private val cancelWaiters = HashMap<String, MutableList<CompletableDeferred<JobStage>>>()
 
+    /** Many jobs can be in doubt at once, and reading their records must not keep the rest waiting for its turn. */
+    private val reading = Semaphore(MOST_READS)
+
     /** Sure of being the only leader: answers from memory can't be older than anyone else's. */
     val certain: Boolean get() = scope.isActive && leader.mayAct(clock.steady(), withinLease = true)
 
@@ -96,7 +102,9 @@
 
     fun stop() {
         scope.cancel()
-        cancelWaiters.values.flatten().forEach { it.cancel() }
+        // Not known to be cancelled: whoever waits is told to come again.
+        cancelWaiters.values.flatten().forEach { it.completeExceptionally(IOException("the term is over")) }
+        cancelWaiters.clear()
         workers.closeAll()
     }
 
@@ -108,6 +116,7 @@
                 is Effect.Send -> guard("commands to ${effect.machine}") { send(effect) }
                 is Effect.Rent -> guard("renting") { rent(effect) }
                 is Effect.Release -> guard("releasing") { release(effect) }
+                is Effect.ReadRecord -> guard("reading the record of ${effect.job}") { read(effect.job) }
                 is Effect.Cancelled -> cancelWaiters.remove(effect.job)?.forEach {
                     it.complete(if (effect.done) JobStage.DONE else JobStage.CANCELLED)
                 }
@@ -191,7 +200,8 @@
             WriteOutcome.Unknown -> e.changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
         }
         if (inPlace && outcome is CommitOutcome.Applied) finals!!.placed((e.changes.single() as Change.JobOver).job)
-        if (outcome is CommitOutcome.Failed) delay(RETRY_MS)
+        // What a final record is in doubt about is read first.
+        if (outcome is CommitOutcome.Failed && e.changes.none { it is Change.JobOver }) delay(RETRY_MS)
         leader.committed(e.id, outcome, clock.steady())
         settle()
     }
@@ -257,10 +267,32 @@
         }
     }
 
+    /** The record of a job in doubt; asked again a little later where that settles nothing. */
+    private suspend fun read(job: String) {
+        val found = try {
+            reading.withPermit { record(job) }
+        } catch (e: IOException) {
+            log.debug("reading the record of {}: {}", job, e.message)
+            JobRecord.Unread
+        }
+        if (found !is JobRecord.Over) delay(RETRY_MS)
+        leader.recordRead(job, found, clock.steady())
+        settle()
+    }
+
+    /** A record moves from the active ones to the final ones and never back, so it is looked for in this order. */
+    private suspend fun record(job: String): JobRecord {
+        val there = state.get(Keys.job(job))
+        val value = there.value ?: state.get(Keys.final(job)).value ?: return JobRecord.Absent
+        val stage = JobCodec.stored(value, there.version).stage
+        if (stage == JobStage.ACTIVE) return JobRecord.Active(there.version)
+        if (there.value != null) finals?.placed(job)
+        return JobRecord.Over(stage == JobStage.CANCELLED)
+    }
+
     /** A refusal means a lost term, or that an earlier try of the same write was applied after all. */
     private suspend fun explain(changes: List<Change>): CommitOutcome =
         try {
-            val overs = changes.filterIsInstance<Change.JobOver>()
             val page = changes.firstOrNull { it is Change.Page }
             when {
                 state.get(Keys.LEAD).version != term.leadVersion -> {
@@ -268,7 +300,8 @@
                     CommitOutcome.Failed()
                 }
                 page != null -> checkNotNull(readPage(page))
-                overs.isNotEmpty() && overs.all { isOver(it) } -> CommitOutcome.Applied(0)
+                // In doubt until its record is read.
+                changes.any { it is Change.JobOver } -> CommitOutcome.Failed()
                 else -> {
                     lost("a record differs from what this term wrote")
                     CommitOutcome.Failed()
@@ -279,12 +312,6 @@
             changes.firstNotNullOfOrNull { readPage(it) } ?: CommitOutcome.Failed()
         }
 
-    private suspend fun isOver(change: Change.JobOver): Boolean {
-        val final = state.get(Keys.final(change.job)).value
-        val value = final ?: state.get(Keys.job(change.job)).value ?: return false
-        return (JobCodec.stored(value, 0).stage == if (change.cancelled) JobStage.CANCELLED else JobStage.DONE).also { if (it && final == null) finals?.placed(change.job) }
-    }
-
     private suspend fun send(e: Effect.Send) {
         val client = HttpClient(workers, e.address, bodyLimit = 256 * 1024)
         try {
@@ -347,5 +374,6 @@
         const val RETRY_MS = 300L
         const val SEND_MS = 2_000L
         const val MOVE_MS = 100L
+        const val MOST_READS = 2
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/Leader.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Leader.kt
@@ -11,6 +11,7 @@
 import org.honeyjunction.core.evidence.SessionLease
 import org.honeyjunction.core.evidence.LeaseCheck
 import org.honeyjunction.core.model.Cluster
+import org.honeyjunction.core.model.FinalRecord
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.MachinePhase
@@ -268,6 +269,13 @@
         settle(now)
     }
 
+    /** What the record of [job] says, as was asked for by [Effect.ReadRecord]. */
+    fun recordRead(job: String, found: JobRecord, now: Long) {
+        enter(now)
+        state.job(job)?.let { lifecycle.recordRead(it, found, now) }
+        settle(now)
+    }
+
     private fun settle(now: Long) {
         lifecycle.flush(now)
         ledger.flush(now)
@@ -293,8 +301,8 @@
         JobStatus(job.stage, job.doneCount, job.running)
     }
 
-    /** Null while the final record is on its way: it may be durable already, and others may read it. */
-    fun certainStatus(id: String): JobStatus? = status(id)?.takeUnless { it.stage == JobStage.ACTIVE && state.job(id)!!.closing }
+    /** Null while the final record is on its way or in doubt: it may be durable already, and others may read it; see [FinalRecord]. */
+    fun certainStatus(id: String): JobStatus? = status(id)?.takeIf { state.job(id)!!.finalRecord.certain }
 
     /** Why each of the job's tasks is where it is, at most [most] of them from [first] on; null: nothing is known of the job. */
     fun explain(id: String, first: Int, most: Int, now: Long): List<Explanation>? {
--- a/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Ledger.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.core.control
 
+import org.honeyjunction.core.model.FinalRecord
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
@@ -98,7 +99,7 @@
 
     fun flush(now: Long) {
         starts.removeIf { it.gone || it.phase != Phase.RESERVED }
-        due.removeIf { it.job.stage != JobStage.ACTIVE || it.job.closing }
+        due.removeIf { it.job.finalRecord.state != FinalRecord.State.OPEN }
         if (starts.isEmpty() && due.isEmpty() || now < nextWriteAt || pages.count { it.busy } >= MAX_BUSY) return
         nextWriteAt = now + state.cluster.pageGapMs
         results.keys.removeIf { it.stage != JobStage.ACTIVE }
--- a/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Lifecycle.kt
@@ -3,6 +3,7 @@
 import org.honeyjunction.core.blame.Blame
 import org.honeyjunction.core.blame.MachineHealth
 import org.honeyjunction.core.evidence.RenewalBound
+import org.honeyjunction.core.model.FinalRecord
 import org.honeyjunction.core.model.Job
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
@@ -16,7 +17,7 @@
 
 /** What the end of a task means: durable results, finished and cancelled jobs, failures. */
 class Lifecycle(private val state: ClusterState, private val ledger: Ledger, private val blame: Blame, private val served: Served) {
-    /** Jobs whose final record is to be written. */
+    /** Jobs whose final record is to be written or read. */
     private val closable = LinkedHashSet<Job>()
 
     /** [on]: the machine on which it did its work, where that is known. */
@@ -41,16 +42,23 @@
 
     fun flush(now: Long) {
         if (closable.isEmpty()) return
-        // Workers report an ended task until it is reaped: a final record that is on its way is not written again.
-        val (due, later) = closable.filter { it.stage == JobStage.ACTIVE && !it.closing }.partition { mayClose(it, now) }
+        val due = closable.toList()
         closable.clear()
-        closable += later
-        // What is not finished is here because it was cancelled.
-        due.forEach { close(it, cancelled = it.unfinished > 0, now) }
+        due.forEach { close(it, now) }
+    }
+
+    /** The next step of the job's final record; see [FinalRecord]. */
+    private fun close(job: Job, now: Long) = when (job.finalRecord.state) {
+        FinalRecord.State.OPEN -> if (mayClose(job, now)) write(job, now) else closable += job
+        FinalRecord.State.IN_DOUBT -> read(job)
+        // What an earlier try left may stand at any moment: while it can't be tried again it is read again.
+        FinalRecord.State.NOT_YET -> if (mayClose(job, now)) write(job, now) else read(job)
+        // Workers report an ended task until it is reaped: what is on its way is not written again. Its answer leads on.
+        FinalRecord.State.WRITING, FinalRecord.State.READING, FinalRecord.State.RECORDED -> Unit
     }
 
     fun cancel(job: Job, now: Long) {
-        if (job.closing) return
+        if (job.finalRecord.state != FinalRecord.State.OPEN) return
         job.cancelAsked = true
         job.placements.toList().forEach { it.askToStop(0.0) }
         closable += job
@@ -70,18 +78,46 @@
 
     private val leasesFit = RenewalBound.roomMs(state.cluster.cancelMs, state.cluster.leaseMs) > 0
 
-    private fun close(job: Job, cancelled: Boolean, now: Long) {
-        job.closing = true
+    private fun write(job: Job, now: Long) {
+        // What is not finished is here because it was cancelled.
+        val cancelled = job.finalRecord.write(job.unfinished > 0)
         state.commit(listOf(Change.JobOver(job.spec.id, job.version, cancelled))) { outcome ->
             if (outcome is CommitOutcome.Applied) {
                 over(job, cancelled, now)
             } else {
-                job.closing = false
+                job.finalRecord.unanswered()
                 closable += job
             }
         }
     }
 
+    private fun read(job: Job) {
+        job.finalRecord.read()
+        state.effects += Effect.ReadRecord(job.spec.id)
+    }
+
+    /** What the record of a job in doubt says. Whatever stands is taken over; a record that no try of this term explains ends the term. */
+    fun recordRead(job: Job, found: JobRecord, now: Long) {
+        if (job.finalRecord.state != FinalRecord.State.READING) return
+        when (found) {
+            is JobRecord.Over -> return over(job, found.cancelled, now)
+            is JobRecord.Active -> {
+                job.finalRecord.stillActive()
+                if (found.version != job.version) return differs(job)
+            }
+            JobRecord.Absent -> {
+                job.finalRecord.unread()
+                return differs(job)
+            }
+            JobRecord.Unread -> job.finalRecord.unread()
+        }
+        closable += job
+    }
+
+    private fun differs(job: Job) {
+        state.effects += Effect.StepDown("the record of ${job.spec.id} differs from what this term knows")
+    }
+
     private fun over(job: Job, cancelled: Boolean, now: Long) {
         job.enter(if (cancelled) JobStage.CANCELLED else JobStage.DONE)
         judge(blame.jobOver(job.index, now))
--- a/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Messages.kt
@@ -96,6 +96,20 @@
     data class Failed(val version: Long? = null) : CommitOutcome
 }
 
+/** What the state service has of a job that this term knows to be accepted. */
+sealed interface JobRecord {
+    data class Active(val version: Long) : JobRecord
+
+    /** Its final state, in place or where finals are kept. */
+    data class Over(val cancelled: Boolean) : JobRecord
+
+    /** Neither an active nor a final record. */
+    data object Absent : JobRecord
+
+    /** The state service did not tell. */
+    data object Unread : JobRecord
+}
+
 /** What the core asks of the world; every answer comes back as an event. */
 sealed interface Effect {
     data class Commit(val id: Long, val changes: List<Change>) : Effect
@@ -116,6 +130,9 @@
 
     data class Release(val machines: List<String>) : Effect
 
+    /** What the record of [job] says, after a write of its final state that was not answered or was refused. */
+    data class ReadRecord(val job: String) : Effect
+
     /** A user's cancellation is durable (or the job was done already). */
     data class Cancelled(val job: String, val done: Boolean) : Effect
 
--- a/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/StandInState.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.CommitOutcome
+import org.honeyjunction.core.control.JobRecord
 import org.honeyjunction.core.control.MachineHint
 import org.honeyjunction.core.control.Marks
 import org.honeyjunction.core.control.PageRecord
@@ -51,6 +52,9 @@
         return if (write == c.write) CommitOutcome.Applied(record.version) else CommitOutcome.Failed(record.version)
     }
 
+    fun record(id: String): JobRecord =
+        if (down) JobRecord.Unread else jobs[id]?.let { JobRecord.Active(it.version) } ?: finals[id]?.let { JobRecord.Over(it.stage == JobStage.CANCELLED) } ?: JobRecord.Absent
+
     fun recovered(): Recovered {
         val records = pages.values.map { it.first }
         val named = records.flatMap { r -> r.starts.map { it.job } }.toSet() - jobs.keys
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -4,6 +4,7 @@
 import org.honeyjunction.core.control.ClusterState
 import org.honeyjunction.core.control.CommitOutcome
 import org.honeyjunction.core.control.Effect
+import org.honeyjunction.core.control.JobRecord
 import org.honeyjunction.core.control.Leader
 import org.honeyjunction.core.control.Listed
 import org.honeyjunction.core.control.Obstacle
@@ -237,6 +238,10 @@
                 val ok = !cloudDown
                 at(100) { core.run { released(e.machines, ok, now) } }
             }
+            is Effect.ReadRecord -> at(300) {
+                val found = if (core.cutOff) JobRecord.Unread else state.record(e.job)
+                core.run { recordRead(e.job, found, now) }
+            }
             is Effect.Cancelled -> if (!e.done) watch.cancelledAt.putIfAbsent(e.job, now)
             is Effect.Tell -> Unit
             is Effect.StepDown -> core.alive = false
