What leaves a team's limit is sorted once for all its gangs that wait for it

Each gang without room under the limit went through all tasks of its team at each question for a summary; a team with many gangs and arrays of thousands of tasks asks for that many times a second.

--- a/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Queue.kt
@@ -34,11 +34,21 @@
             // What is kept for a gang is kept from all jobs of its team, whoever owns them.
             .filter { !it.waiting.isEmpty && it.startable && it.notBefore <= now && (it.spec.kind == JobKind.GANG || owner(it)) }
             .sortedWith(compareBy<Job> { it.failing }.thenByDescending { it.spec.priority }.thenByDescending { it.guaranteed }.thenBy { late(it, now) }.thenBy { it.createdAt })
-            .mapNotNull { demand(it, now, shares.getOrPut(it.team) { Share(state.usage(it.team)) }, owner) }
+            .mapNotNull { demand(it, now, shares.getOrPut(it.team) { Share(it.team, now) }, owner) }
     }
 
     /** What a team uses, with what is to start before; and what is [kept] of its limit for a gang, which should have its room in [keptForS]. */
-    private class Share(var use: Resources, var kept: Resources = Resources.NONE, var keptForS: Double = 0.0) {
+    private inner class Share(team: Int, now: Long) {
+        var use = state.usage(team)
+        var kept = Resources.NONE
+        var keptForS = 0.0
+
+        /** In how many seconds each of the team's tasks that end by themselves should leave, and what it has; asked for by gangs alone. */
+        val ending by lazy(LazyThreadSafetyMode.NONE) {
+            state.active.values.filter { it.team == team && it.spec.kind != JobKind.SERVICE }
+                .flatMap { it.placements }.map { leavesInS(it, now) to it.task.job.spec.need }.sortedBy { it.first }
+        }
+
         /** What would end before that may have the room meanwhile (backfilling). */
         fun against(runS: Double?) = if (runS != null && runS * SURE <= keptForS) use else use + kept
     }
@@ -80,21 +90,19 @@
      * or if the gang has waited for long enough. What can't have its room for minutes must not keep the others from theirs all the time.
      */
     private fun keep(job: Job, share: Share, now: Long) {
-        val inS = leavesInS(job, share, now) ?: return
+        val inS = leavesInS(job, share) ?: return
         if (inS > KEPT_S && now - job.createdAt < KEPT_AFTER_MS) return
         share.kept = job.spec.need * job.unfinished
         share.keptForS = maxOf(inS, LEAST_KEPT_S)
     }
 
     /** In how many seconds the gang keeps within its team's limit; null: never, for what does not end by itself. */
-    private fun leavesInS(job: Job, share: Share, now: Long): Double? {
+    private fun leavesInS(job: Job, share: Share): Double? {
         val team = state.cluster.teams[job.team]
         val need = job.spec.need * job.unfinished
         var use = share.use
         if (team.allows(use + need)) return 0.0
-        val ending = state.active.values.filter { it.team == job.team && it.spec.kind != JobKind.SERVICE }
-            .flatMap { it.placements }.map { leavesInS(it, now) to it.task.job.spec.need }.sortedBy { it.first }
-        for ((inS, freed) in ending) {
+        for ((inS, freed) in share.ending) {
             use -= freed
             if (team.allows(use + need)) return inS
         }
