--- a/src/test/kotlin/org/honeyjunction/app/CloseLooksTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/CloseLooksTest.kt
@@ -100,7 +100,7 @@
         assertEquals(emptyList<String>(), p.broken)
         assertTrue(p.cluster.loopback.term() >= 4, "${p.cluster.loopback.term()} terms")
         // What was written in place is moved when nothing waits: two changes each, at a tenth of all.
-        p.run(p.users.jobs.size * 2 * 1_000L / 3 + 60_000)
+        p.run(p.users.jobs.size * 2 * 1_000L / 3 + REMEMBERED_MS)
         val store = p.cluster.loopback.store
         val records = p.users.jobs.associateWith { j -> listOf("j/", "f/").mapNotNull { store["$it${j.spec.id}"] } }
         assertEquals(emptyList<String>(), records.filterValues { it.size != 1 }.map { it.key.spec.id }, "not one record each")
@@ -111,6 +111,7 @@
         assertEquals(0, store.range("j/", null, 1_000).first.size, "the next leader reads no job that is over")
         val leader = p.cluster.controllers.nodes.firstNotNullOf { it.certainLeader }.leader
         assertEquals(0, leader.state.active.size)
+        assertEquals(emptyList<String>(), p.users.jobs.filter { leader.state.job(it.spec.id) != null }.map { it.spec.id }, "still in the leader's memory")
         // A controller that has just begun has nothing in memory: the records answer.
         p.users.answered.clear()
         (0 until NODES).forEach(p.cluster.controllers::kill)
@@ -127,6 +128,9 @@
         const val PER_S = 4
         const val MOST_MS = 400_000L
         const val AFTER_MS = 8_000L
+
+        /** What is over stays in a leader's memory for ten minutes. */
+        const val REMEMBERED_MS = 630_000L
         val CANCELS = listOf(CloseUsers.Cancel.AT_ONCE, CloseUsers.Cancel.AT_END, CloseUsers.Cancel.MIDWAY)
     }
 }
