What was cancelled on a machine that hangs is made sure of, though leaders follow each other

A machine that hangs keeps its tasks beyond its lease, so a leader has it released when it holds what was cancelled. A new leader waited for a whole lease of silence under its own term before that: where leaders follow each other faster than that none ever did, and the tasks outlived the time that a cancellation may take. A leader now waits for three reports; in a zone that is cut off, where leases end what machines have, as long as before.

--- a/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/Silence.kt
@@ -48,14 +48,24 @@
         val silentMs = zones.silentMs(m, now)
         return when (m.phase) {
             MachinePhase.LOST -> silentMs > patienceMs(m) || m.lostJobs.any(::cancelled)
-            MachinePhase.UNHEARD -> silentMs > patienceMs(m) || silentMs > unheardMs && m.placements.values.any { cancelled(it.task.job) }
-            // A hung machine holds cancelled tasks beyond its lease; the release makes sure of them.
-            MachinePhase.UP, MachinePhase.QUIET -> now - m.lastHeardAt > state.cluster.reportMs * 3 && now - m.lastHeardAt > state.cluster.cancelMs / 4 &&
-                m.placements.values.any { cancelled(it.task.job) && it.stopping }
+            MachinePhase.UNHEARD -> silentMs > patienceMs(m) || silentMs > proofMs(m) && holdsCancelled(m)
+            MachinePhase.UP, MachinePhase.QUIET -> now - m.lastHeardAt > maxOf(silenceMs, state.cluster.cancelMs / 4) && holdsCancelled(m)
             MachinePhase.BOOTING, MachinePhase.DRAINING, MachinePhase.RELEASING, MachinePhase.GONE -> false
         }
     }
 
+    /** A hung machine holds cancelled tasks beyond its lease; the release makes sure of them. */
+    private fun holdsCancelled(m: Machine) = m.placements.values.any { cancelled(it.task.job) && it.stopping }
+
+    /**
+     * How long an earlier leader's machine is waited for that holds what was cancelled. It may have to be gone soon: how long the machine has been silent in
+     * all is not known, and leaders may follow each other faster than any of them loses patience. In a zone that is cut off machines don't hang, and
+     * their leases end what they have.
+     */
+    private fun proofMs(m: Machine) = if (zones[m.zone] == ZoneState.CUT) unheardMs else silenceMs
+
+    private val silenceMs get() = state.cluster.reportMs * 3
+
     private fun cancelled(job: Job) = job.stage == JobStage.CANCELLED || job.cancelAsked
 
     /** While no machine at all is heard, the silence says more of this node than of them. */
--- a/src/test/kotlin/org/honeyjunction/sim/LimitMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LimitMeetingsTest.kt
@@ -80,6 +80,30 @@
         for (change in Change.entries) for (cancelled in Cancelled.entries) for (seed in 1L..2L) play(silence, change, cancelled, seed + 10 * change.ordinal)
     }
 
+    /** None of the leaders is there for long enough to see a lease end, and a machine that hangs keeps its tasks beyond its own: only a release is sure. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `what was cancelled on a machine that hangs is gone in time, though leaders follow each other`(seed: Long) {
+        val w = World(seed, capacity = 8)
+        w.elect()
+        val job = w.submit(1, JobKind.ARRAY, 4, "a", seconds = 1e6)
+        w.submit(2, JobKind.SERVICE, 6, "b")
+        w.run(18_000)
+        val there = w.workers.values.filter { m -> m.tasks.values.any { it.live && it.spec.id == job } }.take(1)
+        there.forEach { it.hungUntil = w.now + 100_000 }
+        w.cancelUntilConfirmed(job)
+        w.run(1_000)
+        val since = w.watch.cancelledAt.getValue(job)
+        var changes = 0
+        while (w.now < since + 36_500) {
+            w.run(500)
+            if (w.now / 8_000 > (w.now - 500) / 8_000) w.handOver().also { changes++ }
+        }
+        assertTrue(changes >= 4)
+        assertEquals(emptyList<String>(), there.filter { it.name in w.workers }.map { it.name }, "released")
+        assertEquals(emptyList<String>(), w.broken)
+    }
+
     /** The leader ends at the very moment at which its page names a start that it has not sent, and when what it sent was not answered. */
     @ParameterizedTest
     @ValueSource(longs = [1, 2, 3, 4, 5, 6])
