--- a/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
@@ -1,11 +1,14 @@
 package org.honeyjunction.sim
 
 import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.TaskState
 import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
 import org.honeyjunction.emulator.Setup
 import org.honeyjunction.emulator.Waiting
 import org.honeyjunction.emulator.World
@@ -14,6 +17,7 @@
 import org.honeyjunction.emulator.succeed
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -348,4 +352,26 @@
         waiting.run(340_000)
         w.assertDone(jobs)
     }
+
+    /** What is kept for a gang is kept from its team's jobs at every controller; what should end before it can begin may have the room meanwhile. */
+    @Test
+    fun `a gang's part of the limit is kept from jobs of other owners too`() {
+        val w = World(5, setup = Setup(limits = mapOf("a" to 8.0, "b" to 16.0)))
+        w.elect()
+        w.submit(1, JobKind.ARRAY, 7, "a", seconds = 30.0)
+        w.run(12_000)
+        w.submit(2, JobKind.GANG, 2, "a", gpus = 2, seconds = 10.0, priority = Priority.HIGH)
+        w.run(200)
+        fun other(n: Int, seconds: Double): String {
+            val spec = JobSpec("j-$n", "c", "a", JobKind.ARRAY, Priority.NORMAL, 1, Resources(1.0, 1.0, 1.0), "i0", 2.0, null, null, false, false, false, seconds, 0.0, 1.0, null)
+            val stored = w.state.submit(StoredJob(spec, "m", w.now, 0, JobStage.ACTIVE))
+            w.leader!!.run { jobSeen(stored, w.now, w.now) }
+            return spec.id
+        }
+        val long = other(3, 25.0)
+        val short = other(4, 2.0)
+        val core = w.leader!!.leader
+        val wanted = core.summaryFor("m", w.now).rows.map { core.state.jobAt(it.job)!!.spec.id }
+        assertEquals(listOf(short), wanted, "and not $long")
+    }
 }
