--- a/src/main/kotlin/org/honeyjunction/emulator/Troubles.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Troubles.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.emulator
 
+import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.Report
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobSpec
@@ -19,6 +20,9 @@
     /** Whether direct commands reach it; answers to its reports may all the same. */
     var commands: (Worker) -> Boolean = { true }
 
+    /** Whether the answer to a write that was carried out is lost. */
+    var answerLost: (List<Change>) -> Boolean = { false }
+
     /** By how long a report is held back on its way; null: not at all. */
     var holdBack: (Report) -> Long? = { null }
 
--- a/src/main/kotlin/org/honeyjunction/emulator/World.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/World.kt
@@ -329,7 +329,7 @@
         }
         at(latency()) {
             val version = if (fate == 0) null else state.commit(core.term, e.changes)
-            val answered = version?.takeIf { fate > 1 }
+            val answered = version?.takeIf { fate > 1 && !links.answerLost(e.changes) }
             at(if (answered != null) latency() else 300) {
                 if (core.term != state.term) core.alive = false
                 else if (answered != null) core.run { committed(e.id, CommitOutcome.Applied(answered), now) }
--- a/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.sim
 
 import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.TaskState
 import org.honeyjunction.core.model.JobKind
@@ -187,6 +188,33 @@
         w.assertDone(jobs + urgent)
     }
 
+    /** Jobs of two and three tasks whose ends lie apart across three leaders, while old reports come again and most answers to writes of pages are lost. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `small jobs end far apart across changes of leader, late reports and lost answers of pages`(seed: Long) {
+        val w = World(seed)
+        w.elect()
+        var lost = 0
+        w.links.answerLost = { changes -> (changes.any { it is Change.Page } && w.random.nextInt(10) < 6).also { if (it) lost++ } }
+        val starts = HashMap<String, Int>()
+        w.eachStart { starts.merge(it.task.id, 1, Int::plus) }
+        // A team's limit lets two run at a time: the others begin when those end.
+        val jobs = listOf(w.submit(1, JobKind.ARRAY, 3, "a", gpus = 4, seconds = 13.0), w.submit(2, JobKind.ARRAY, 2, "a", gpus = 4, seconds = 11.0))
+        w.lateReports = 60
+        var apart = 0
+        repeat(4) {
+            w.run(13_000)
+            w.crash()
+            apart += jobs.count { id -> w.state.pages.values.any { (page, _) -> page.done[id]?.isEmpty == false } && id in w.state.jobs }
+            w.run(World.LEASE + 1_000)
+        }
+        assertTrue(lost > 0, "answers were lost")
+        assertTrue(apart > 0, "a leader ended between two ends of a job")
+        w.run(120_000)
+        w.assertDone(jobs)
+        assertEquals(setOf(1), starts.values.toSet(), "each task ran once: $starts")
+    }
+
     /** The only report that shows an end is held back until a new leader has acted; [heldMs] beyond the lease, the worker has a new session by then. */
     @ParameterizedTest(name = "seed {0}, held for {1} ms")
     @CsvSource("1,8000", "2,8000", "3,9000", "4,18000", "5,18000", "6,30000")
