--- a/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
@@ -1,11 +1,15 @@
 package org.honeyjunction.sim
 
 import org.honeyjunction.core.control.Cause
+import org.honeyjunction.core.control.Change
+import org.honeyjunction.core.control.StoredJob
 import org.honeyjunction.core.control.TaskState
 import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
 import org.honeyjunction.emulator.Setup
 import org.honeyjunction.emulator.Waiting
 import org.honeyjunction.emulator.World
@@ -14,6 +18,7 @@
 import org.honeyjunction.emulator.succeed
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
@@ -183,6 +188,33 @@
         w.assertDone(jobs + urgent)
     }
 
+    /** Jobs of two and three tasks whose ends lie apart across three leaders, while old reports come again and most answers to writes of pages are lost. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `small jobs end far apart across changes of leader, late reports and lost answers of pages`(seed: Long) {
+        val w = World(seed)
+        w.elect()
+        var lost = 0
+        w.links.answerLost = { changes -> (changes.any { it is Change.Page } && w.random.nextInt(10) < 6).also { if (it) lost++ } }
+        val starts = HashMap<String, Int>()
+        w.eachStart { starts.merge(it.task.id, 1, Int::plus) }
+        // A team's limit lets two run at a time: the others begin when those end.
+        val jobs = listOf(w.submit(1, JobKind.ARRAY, 3, "a", gpus = 4, seconds = 13.0), w.submit(2, JobKind.ARRAY, 2, "a", gpus = 4, seconds = 11.0))
+        w.lateReports = 60
+        var apart = 0
+        repeat(4) {
+            w.run(13_000)
+            w.crash()
+            apart += jobs.count { id -> w.state.pages.values.any { (page, _) -> page.done[id]?.isEmpty == false } && id in w.state.jobs }
+            w.run(World.LEASE + 1_000)
+        }
+        assertTrue(lost > 0, "answers were lost")
+        assertTrue(apart > 0, "a leader ended between two ends of a job")
+        w.run(120_000)
+        w.assertDone(jobs)
+        assertEquals(setOf(1), starts.values.toSet(), "each task ran once: $starts")
+    }
+
     /** The only report that shows an end is held back until a new leader has acted; [heldMs] beyond the lease, the worker has a new session by then. */
     @ParameterizedTest(name = "seed {0}, held for {1} ms")
     @CsvSource("1,8000", "2,8000", "3,9000", "4,18000", "5,18000", "6,30000")
@@ -348,4 +380,26 @@
         waiting.run(340_000)
         w.assertDone(jobs)
     }
+
+    /** What is kept for a gang is kept from its team's jobs at every controller; what should end before it can begin may have the room meanwhile. */
+    @Test
+    fun `a gang's part of the limit is kept from jobs of other owners too`() {
+        val w = World(5, setup = Setup(limits = mapOf("a" to 8.0, "b" to 16.0)))
+        w.elect()
+        w.submit(1, JobKind.ARRAY, 7, "a", seconds = 30.0)
+        w.run(12_000)
+        w.submit(2, JobKind.GANG, 2, "a", gpus = 2, seconds = 10.0, priority = Priority.HIGH)
+        w.run(200)
+        fun other(n: Int, seconds: Double): String {
+            val spec = JobSpec("j-$n", "c", "a", JobKind.ARRAY, Priority.NORMAL, 1, Resources(1.0, 1.0, 1.0), "i0", 2.0, null, null, false, false, false, seconds, 0.0, 1.0, null)
+            val stored = w.state.submit(StoredJob(spec, "m", w.now, 0, JobStage.ACTIVE))
+            w.leader!!.run { jobSeen(stored, w.now, w.now) }
+            return spec.id
+        }
+        val long = other(3, 25.0)
+        val short = other(4, 2.0)
+        val core = w.leader!!.leader
+        val wanted = core.summaryFor("m", w.now).rows.map { core.state.jobAt(it.job)!!.spec.id }
+        assertEquals(listOf(short), wanted, "and not $long")
+    }
 }
