--- a/src/main/kotlin/org/honeyjunction/io/StateClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/StateClient.kt
@@ -60,6 +60,9 @@
     private val queuedOf = IntArray(WriteRank.entries.size)
     private val arrived = Channel<Unit>(Channel.CONFLATED)
     private val queued get() = queuedOf.sum()
+
+    /** Of a second's worth, which is all that the state service ever takes at once, what the other nodes leave: a larger transaction would never be carried out. */
+    private val mostJoined = minOf(limits.transactionWrites.toDouble(), limits.writesPerS * JOINED)
     private val otherWrites = RecentRate(clock)
 
     init {
@@ -185,7 +188,7 @@
             while (true) {
                 val queue = next() ?: break
                 val next = queue.first()
-                val fits = batch.sumOf { it.writes.size } + next.writes.size <= limits.transactionWrites &&
+                val fits = batch.sumOf { it.writes.size } + next.writes.size <= mostJoined &&
                     batch.sumOf { it.bytes } + next.bytes <= MAX_BYTES &&
                     batch.size < MAX_BATCH && next.writes.none { it.key in keys } &&
                     next.conditions.none { c -> versions[c.key].let { it != null && it != c.version } }
@@ -276,5 +279,8 @@
 
         /** Shares of the changes a second; a part is left for terms, leases and what the clocks differ by. */
         const val BURST = 0.4
+
+        /** Of the changes of a second, how many writes that wait are joined at most. */
+        const val JOINED = 0.6
     }
 }
--- a/src/test/kotlin/org/honeyjunction/io/StateClientTest.kt
+++ b/src/test/kotlin/org/honeyjunction/io/StateClientTest.kt
@@ -8,6 +8,7 @@
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.Write
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import java.util.Random
@@ -34,4 +35,18 @@
             assertEquals(outcomes, listOf(store["k0"] != null, store["k1"] != null))
         }
     }
+
+    /** A service that takes fewer changes a second than a transaction may have would refuse a full one for ever. */
+    @Test
+    fun `no more writes are joined than the state service takes at once`() {
+        Loop().use { loop ->
+            val store = Store(Store.Limits(1_000.0, 8.0, 16, 4_096), Clock.steady())
+            val address = StateServer(loop, store, Random(1)) { Clock.steady() }.listen()
+            val client = StateClient(loop, address, StateLimits(1_000.0, 8.0, 16, 1, 4_096), Clock)
+            val applied = runBlocking {
+                loop.scope.async { List(14) { i -> async { client.commit(emptyList(), listOf(Write("k$i", IntNode(i)))) } }.map { it.await() is WriteOutcome.Applied } }.await()
+            }
+            assertEquals(List(14) { true }, applied)
+        }
+    }
 }
