--- a/src/test/kotlin/org/honeyjunction/app/Proxied.kt
+++ b/src/test/kotlin/org/honeyjunction/app/Proxied.kt
@@ -55,7 +55,7 @@
     private val controllers = Controllers(List(NODES) { settings.forNode(it, listen, peers, proxy(it), loopback.cloudAddress) }, Tuning(idleMs = 6_000, forecastMs = 20_000), place)
     private val readers = loopback.loop.named("readers")
     private val clients = listen.map { HttpClient(Connections(readers, most = 64), it) }
-    val users = Users(loopback.loop.named(Loopback.USERS), listen, loopback.watch, loopback::now)
+    val users = Users(loopback.loop.named(Loopback.USERS), listen, loopback.watch, seed, loopback::now)
     val now get() = loopback.now()
 
     /** The newest final answer received for a job. */
