--- a/src/main/kotlin/org/honeyjunction/app/LeaderDriver.kt
+++ b/src/main/kotlin/org/honeyjunction/app/LeaderDriver.kt
@@ -269,11 +269,15 @@
 
     /** The record of a job in doubt; asked again a little later where that settles nothing. */
     private suspend fun read(job: String) {
-        val found = try {
-            reading.withPermit { record(job) }
-        } catch (e: IOException) {
-            log.debug("reading the record of {}: {}", job, e.message)
-            JobRecord.Unread
+        val found = reading.withPermit {
+            try {
+                record(job)
+            } catch (e: IOException) {
+                log.debug("reading the record of {}: {}", job, e.message)
+                // Whoever is next would not be answered either.
+                delay(RETRY_MS)
+                JobRecord.Unread
+            }
         }
         if (found !is JobRecord.Over) delay(RETRY_MS)
         leader.recordRead(job, found, clock.steady())
