Search: troubles that belong together at a takeover

Drawn alone, the parts of such meetings hardly ever fall together: a leader cut off with its workers, reports kept for its successor while machines are cut as the term begins, writes that lag and jobs called off as a leader is refused.

--- a/src/main/kotlin/org/honeyjunction/app/local/Search.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/Search.kt
@@ -95,7 +95,15 @@
 
 /** Draws short days with troubles that meet, and plays them until a rule breaks. */
 class Search(private val cluster: VirtualCluster, private val controllers: Int, private val zones: List<String>, private val teams: List<String>) {
-    private class Kind(val name: String, val mostS: Int, val text: (Random) -> String)
+    /** A trouble, or some that belong together, each from its own moment after the first and for as long as it says, or else for what is drawn. */
+    private class Kind(val name: String, val mostS: Int, val text: (Random) -> String) {
+        fun faults(atMs: Long, moment: String, forMs: Long, random: Random): List<Fault> = text(random).split(", ").map { part ->
+            val after = part.substringBefore("s ").removePrefix("+").takeIf { part.startsWith('+') }
+            val what = if (after == null) part else part.substringAfter("s ")
+            val on = if (" on " in " $what" || after != null) "" else moment
+            Fault.parse("at ${(atMs + (after?.toLong() ?: 0) * 1_000) / 1000.0}s $on$what" + if (" for " in what) "" else " for ${forMs / 1000.0}s")
+        }
+    }
 
     private val kinds = listOf(
         Kind("kill leader", 9) { "kill leader" }, Kind("kill all", 4) { "kill all" }, Kind("kill a controller", 9) { "kill node ${it.nextInt(controllers)}" },
@@ -107,6 +115,10 @@
         Kind("keep reports", 40) { "keep reports" }, Kind("close looks", 60) { "close looks" }, Kind("close looks", 60) { "close looks" },
         Kind("cancel at once", 60) { "cancel accepted" }, Kind("cancel at the end", 60) { "cancel ends" }, Kind("cancel now", 10) { "cancel ${2 + it.nextInt(5)} jobs" },
         Kind("mute machines", 30) { "mute ${1 + it.nextInt(5)} machines" }, Kind("hurry boots", 40) { "hurry boots" }, Kind("lag lists", 40) { "lag lists" }, Kind("odd requests", 30) { "odd requests" },
+        Kind("cut off with its workers", 60) { "isolate leader, mute others" },
+        Kind("old words at a takeover", 30) { "keep reports for 2s, +${2 + it.nextInt(4)}s refuse leader, +2s on term ${listOf("cut", "hang", "mute")[it.nextInt(3)]} ${2 + it.nextInt(5)} machines for 9s" },
+        Kind("late writes at a takeover", 20) { "delay writes, +${1 + it.nextInt(4)}s on write refuse leader for 9s, +1s on term cut ${2 + it.nextInt(5)} machines for 9s" },
+        Kind("called off at a takeover", 9) { "refuse leader, +0s on term cancel 4 jobs, +0s on term cut 3 machines" },
     )
 
     /** How often two troubles met in the days drawn so far. */
@@ -126,7 +138,7 @@
             drawn += kind
             val forMs = minOf(kind.mostS * 1_000L, 500L + random.nextInt(kind.mostS * 1_000))
             val moment = if (random.nextInt(MOMENT_ONE_IN) == 0) "on ${Fault.Moment.entries[random.nextInt(Fault.Moment.entries.size)].name.lowercase()} " else ""
-            faults += Fault.parse("at ${at / 1000.0}s $moment${kind.text(random)} for ${forMs / 1000.0}s")
+            faults += kind.faults(at, moment, forMs, random)
             // Aimed at moments that matter: at once, while a term is won, while its leader looks round, and when the first is nearly over.
             at += GAPS_MS[random.nextInt(GAPS_MS.size)] + random.nextInt(400)
         }
