--- a/src/test/kotlin/org/honeyjunction/core/LateReportsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/LateReportsTest.kt
@@ -114,7 +114,7 @@
                     is Effect.Release -> leader.released(e.machines, false, now)
                     is Effect.Cancelled -> watch.cancelledAt.putIfAbsent(e.job, now)
                     is Effect.ReadRecord -> error("all writes are answered")
-                    is Effect.Tell, is Effect.StepDown -> Unit
+                    is Effect.Tell, is Effect.StepDown, is Effect.ReadRecord -> Unit
                 }
             }
         }
