--- a/src/main/kotlin/org/honeyjunction/emulator/Troubles.kt
+++ b/src/main/kotlin/org/honeyjunction/emulator/Troubles.kt
@@ -2,9 +2,6 @@
 
 import org.honeyjunction.core.control.Change
 import org.honeyjunction.core.control.Report
-import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
-import org.honeyjunction.core.model.Resources
 import org.honeyjunction.standin.Watch
 import org.honeyjunction.standin.Worker
 import java.util.Random
@@ -63,43 +60,8 @@
     watch.onStart = { before(it); seen(it) }
 }
 
-/**
- * The verdict of a day's end, judged by what really is on the machines: no job waits for [patienceMs] while machines that fit have room for one
- * more task of it (of a gang, for all) and its team stays within its limit. [step] is to be called about once a second.
- */
-class Waiting(private val world: World, private val setup: Setup, private val patienceMs: Long = 90_000) {
-    private val since = HashMap<String, Long>()
-
-    fun step() {
-        val now = world.now
-        val up = world.workers.values.filter { !it.silent(now) && now >= it.cutUntil && it.noticeS == null }
-        val there = world.workers.values.filter { it.holds(now) }.flatMap { w -> w.tasks.values.filter { it.live }.map { w to it } }
-        val core = world.leader?.takeIf { it.alive } ?: return since.clear()
-        val could = world.state.jobs.keys.filter { id ->
-            val job = core.leader.state.job(id) ?: return@filter false
-            val mine = there.filter { it.second.spec.id == id }
-            val missing = job.unfinished - mine.size
-            val wanted = if (job.spec.kind == JobKind.GANG) job.unfinished else 1
-            if (!job.startable || missing < wanted) return@filter false
-            val used = there.filter { it.second.spec.team == job.spec.team }.sumOf { it.second.spec.need.gpus }
-            if (used + job.spec.need.gpus * wanted > setup.limits.getValue(job.spec.team)) return@filter false
-            val rooms = up.filter { w -> (job.spec.spot || !w.box.spot) && (job.spec.zone == null || job.spec.zone == w.box.zone) && zoneOpen(job.spec, mine.map { it.first.box.zone }, w.box.zone) }
-                .groupBy { if (job.spec.oneZone) it.box.zone else "" }
-            rooms.values.any { machines -> machines.sumOf { w -> job.spec.need.countIn(w.box.size - w.tasks.values.filter { it.live }.fold(Resources.NONE) { sum, t -> sum + t.spec.need }) } >= wanted }
-        }
-        since.keys.retainAll(could.toSet())
-        for (id in could) {
-            val from = since.getOrPut(id) { now }
-            if (now - from == patienceMs) world.watch.note(now, "waited: $id for ${patienceMs / 1000} s beside room")
-        }
-    }
-
-    private fun zoneOpen(spec: JobSpec, others: List<String>, zone: String) =
-        !(spec.oneZone && others.any { it != zone }) && !(spec.spread && others.count { it == zone } >= (spec.tasks + 1) / 2)
-
-    /** Plays on for [forMs], looking once a second. */
-    fun run(forMs: Long) = repeat((forMs / 1000).toInt()) {
-        world.run(1_000)
-        step()
-    }
+/** Nothing is wrong any more, and the day goes on for [forMs]: see [World.calm]. */
+fun World.calm(forMs: Long) {
+    calm()
+    run(forMs)
 }
--- a/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/LaterMeetingsTest.kt
@@ -11,8 +11,8 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.emulator.Setup
-import org.honeyjunction.emulator.Waiting
 import org.honeyjunction.emulator.World
+import org.honeyjunction.emulator.calm
 import org.honeyjunction.emulator.eachStart
 import org.honeyjunction.emulator.mute
 import org.honeyjunction.emulator.succeed
@@ -148,7 +148,7 @@
         assertEquals(terms.sorted().distinct(), terms)
         assertEquals(10, terms.size)
         assertEquals(0, restarted, "replicas stayed")
-        Waiting(w, setup).run(60_000)
+        w.calm(60_000)
         w.assertDone(jobs)
         assertEquals(2, w.running(replicas))
         w.run(120_000)
@@ -184,7 +184,7 @@
         assertTrue(unanswered > 0, "answers came too late")
         assertTrue(idle in stopped, "something made way")
         w.links.slowMs = 0
-        Waiting(w, setup).run(200_000)
+        w.calm(200_000)
         w.assertDone(jobs + urgent)
     }
 
@@ -278,7 +278,7 @@
         w.crash()
         w.run(World.LEASE + 10_000)
         assertEquals(2, w.running(replicas), "replicas are back")
-        Waiting(w, setup).run(100_000)
+        w.calm(100_000)
         w.assertDone(jobs)
         assertTrue(w.state.finals[cancelled]?.stage == JobStage.CANCELLED && w.live(cancelled) == 0)
     }
@@ -369,7 +369,7 @@
         val setup = Setup(limits = mapOf("a" to 16.0, "b" to 16.0))
         val w = World(seed, capacity = 12, setup = setup)
         w.elect()
-        val waiting = Waiting(w, setup)
+        w.calm()
         w.submit(4, JobKind.SERVICE, 8, "b", priority = Priority.PRODUCTION)
         val jobs = arrayListOf(w.submit(1, JobKind.ARRAY, 13, "a", seconds = 220.0))
         w.run(15_000)
@@ -377,7 +377,7 @@
         w.run(3_000)
         repeat(6) { jobs += w.submit(10 + it, JobKind.ARRAY, 1, if (it % 2 == 0) "a" else "b", seconds = 9.0, priority = if (it < 3) Priority.LOW else Priority.NORMAL) }
         if (crash) w.crash()
-        waiting.run(340_000)
+        w.run(340_000)
         w.assertDone(jobs)
     }
 
--- a/src/test/kotlin/org/honeyjunction/sim/ZoneMeetingsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/sim/ZoneMeetingsTest.kt
@@ -8,8 +8,8 @@
 import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.emulator.Setup
-import org.honeyjunction.emulator.Waiting
 import org.honeyjunction.emulator.World
+import org.honeyjunction.emulator.calm
 import org.honeyjunction.emulator.cutWithLeader
 import org.honeyjunction.emulator.eachStart
 import org.honeyjunction.standin.Watch
@@ -67,7 +67,7 @@
                 val s = w.leader!!.leader.state
                 doubts += jobs.count { id -> s.active[id]?.let { j -> j.spec.oneZone && !j.waiting.isEmpty && j.placements.any { it.phase == Phase.UNHEARD } } == true }
             }
-            Waiting(w, setup).run(120_000)
+            w.calm(120_000)
             assertEquals(emptyList<String>(), w.broken, how)
             assertEquals(emptyList<String>(), jobs.filter { w.state.finals[it]?.stage != JobStage.DONE }, "unfinished: $how")
         }
@@ -120,7 +120,7 @@
         }
         w.run(RenewalBound.CONFIRM_AFTER_MS + cutMs)
         assertTrue(doomed in w.watch.cancelledAt && w.live(doomed) == 0)
-        Waiting(w, setup).run(120_000)
+        w.calm(120_000)
         assertEquals(emptyList<String>(), w.broken)
         assertEquals(emptyList<String>(), jobs.filter { w.state.finals[it]?.stage != JobStage.DONE }, "unfinished")
     }
@@ -140,7 +140,7 @@
         w.crash()
         w.run(24_000)
         assertTrue(sessions.any { (name, s) -> w.workers[name]?.let { it.session > s } ?: true }, "leases ended, or machines were given up")
-        Waiting(w, setup).run(150_000)
+        w.calm(150_000)
         assertEquals(emptyList<String>(), w.broken)
         assertEquals(emptyList<String>(), jobs.filter { w.state.finals[it]?.stage != JobStage.DONE }, "unfinished")
     }
