--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -99,6 +99,18 @@
         return n;
     }
 
+    /** Whether a task of the job is on a machine: it has its image and has not ended. */
+    boolean onMachine(String job) {
+        synchronized (cloud) {
+            for (Worker m : cloud.machines.values()) {
+                synchronized (m) {
+                    for (Worker.Cell c : m.cells.values()) if (c.id.startsWith(job + "/") && c.stage.equals("running")) return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Ends all processes that were started, and removes the temporary folder. */
     void killAll() {
         controllers.forEach(Controller::kill);
@@ -213,6 +225,7 @@
             byte[] buffer = new byte[8192];
             int headEnd = -1;
             int length = -1;
+            int retryAfter = 0;
             while (true) {
                 if (headEnd >= 0 && length >= 0 && got.size() >= headEnd + length) break;
                 int n = is.read(buffer);
@@ -224,6 +237,7 @@
                     if (at >= 0) {
                         headEnd = at + 4;
                         for (String line : s.substring(0, at).split("\r\n")) {
+                            if (line.toLowerCase().startsWith("retry-after:")) retryAfter = Integer.parseInt(line.substring(12).trim());
                             if (line.toLowerCase().startsWith("content-length:")) length = Integer.parseInt(line.substring(15).trim());
                         }
                     }
@@ -235,7 +249,7 @@
             byte[] raw = got.toByteArray();
             JsonNode json = null;
             if (raw.length > headEnd) json = JSON.readTree(raw, headEnd, raw.length - headEnd);
-            return new Answer(status, json);
+            return new Answer(status, json, retryAfter);
         } catch (IOException e) {
             return new Answer(0, null);
         }
@@ -245,9 +259,16 @@
         final int status;
         final JsonNode body;
 
+        final int retryAfterS;
+
         Answer(int status, JsonNode body) {
+            this(status, body, 0);
+        }
+
+        Answer(int status, JsonNode body, int retryAfterS) {
             this.status = status;
             this.body = body;
+            this.retryAfterS = retryAfterS;
         }
 
         String stage() {
@@ -362,7 +383,7 @@
             last = call(c.port, "POST", "/v2/runs", job, 5);
             log("user: submit %s (%s cells) at %s -> %s", id, job.get("Cells"), c.name, last);
             if (last.status == 200 || last.status == 201 || last.status == 400 || last.status == 422) return last;
-            sleep(1);
+            sleep(Math.max(1, last.retryAfterS));
         }
         return last;
     }
@@ -646,6 +667,9 @@
         final Map<String, JsonNode> answers = new HashMap<>();
         long next = 231;
         volatile int perZone = 20;
+
+        /** How many machines a zone has to give, where that is not [perZone]. */
+        final Map<String, Integer> capacity = new ConcurrentHashMap<>();
         volatile double bootS = 1.5;
 
         Cloud(World world) throws IOException {
@@ -672,7 +696,7 @@
             if (answers.containsKey(call)) return new Reply(200, answers.get(call));
             String zone = body.get("Meadow").asText();
             long there = machines.values().stream().filter(w -> w.zone.equals(zone)).count();
-            int count = (int) Math.min(body.get("Count").asInt(), perZone - there);
+            int count = (int) Math.min(body.get("Count").asInt(), capacity.getOrDefault(zone, perZone) - there);
             if (count <= 0) return new Reply(503, JSON.createObjectNode().put("error", "no capacity"));
             ObjectNode n = JSON.createObjectNode();
             ArrayNode names = n.putArray("Hives");
