--- a/src/main/kotlin/org/honeyjunction/app/Leadership.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Leadership.kt
@@ -28,7 +28,7 @@
     private val settings = node.settings
     private val clock = node.clock
     private val election = node.election
-    private val recovery = TermRecovery(node.state)
+    private val recovery = TermRecovery(node.state, clock)
     private val peerConfirmation = PeerLeaseConfirmation(settings.node, node.peers, clock, ::observeTerm)
     private var termStartedAt = Long.MIN_VALUE
 
--- a/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
@@ -7,6 +7,7 @@
 import org.honeyjunction.core.control.messages.LeaderCheckpoint
 import org.honeyjunction.core.control.messages.MachineCheckpoint
 import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.io.Clock
 import org.honeyjunction.io.KeyValueClient
 import org.honeyjunction.wire.CheckpointCodec
 import org.honeyjunction.wire.Entry
@@ -19,7 +20,7 @@
 internal class RecoveredTerm(val state: RecoveredState, val jobsRevision: Long)
 
 /** Reads the state that the leaders of earlier terms stored. */
-internal class TermRecovery(private val state: KeyValueClient) {
+internal class TermRecovery(private val state: KeyValueClient, private val clock: Clock) {
     private val log = LoggerFactory.getLogger(Node::class.java)
 
     /**
@@ -27,14 +28,20 @@
      * the records of active jobs. Throws [MalformedException] for a malformed journal page, since the page may name a running task.
      */
     suspend fun recover(terminalRecords: TerminalRecordPlacement?): RecoveredTerm {
+        val progress = RecoveryProgress(clock)
         val (jobEntries, revision) = state.scan(Keys.JOBS)
+        val (active, terminated) = jobEntries.mapNotNull(::storedJob).partition { it.stage == JobStage.ACTIVE }
+        progress.completed("records of jobs", jobEntries.size)
         val pages = state.scan(Keys.JOURNAL_PAGES).entries.mapNotNull(::journalPage)
+        progress.completed("journal pages", pages.size)
         val machines = state.scan(Keys.MACHINE_CHECKPOINTS).entries.flatMap(::machineCheckpoints)
-        val (active, terminated) = jobEntries.mapNotNull(::storedJob).partition { it.stage == JobStage.ACTIVE }
+        progress.completed("checkpoints of machines", machines.size)
         terminated.forEach { terminalRecords?.addInPlace(it.spec.id) }
         val jobs = withStartedJobs(active, terminated, pages)
+        progress.completed("started jobs that have ended", jobs.size - active.size)
         val checkpoint =
             state.get(Keys.LEADER_CHECKPOINT).value?.let { value -> readOrNull { CheckpointCodec.readLeader(value) } } ?: LeaderCheckpoint()
+        log.info("state-read: {}", progress)
         return RecoveredTerm(RecoveredState(jobs, pages, machines, checkpoint), revision)
     }
 
