A new leader repeats a read of the stored state that failed

Cause: any failed read during the recovery gave up the term and all that had been read. The more records there are, the less likely it is that every read succeeds; with hundreds of reads and one answer in a hundred missing no recovery would ever end. SlowRecoveryTest, `single reads of the stored state that get no answer do not end the term` (every third read unanswered): failed before (the job still waited after 90 s), passes now. Change: StateReader repeats a failed read while the leader lease is valid, ten times in a row at most. A malformed page still ends the term at once, and an outage still does when the lease can't be renewed. Records are decoded page by page, between two requests. Why it works: the lease is renewed beside the reading, so a repeated read costs its own time alone; where the lease is lost the reading is cancelled with the term.

--- a/src/main/kotlin/org/honeyjunction/app/Leadership.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Leadership.kt
@@ -29,7 +29,7 @@
     private val settings = node.settings
     private val clock = node.clock
     private val election = node.election
-    private val recovery = TermRecovery(node.state, clock)
+    private val recovery = TermRecovery(StateReader(node.state) { clock.steady() < leaseValidUntil }, clock)
     private val peerConfirmation = PeerLeaseConfirmation(settings.node, node.peers, clock, ::observeTerm)
     private var termStartedAt = Long.MIN_VALUE
 
--- a/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
@@ -8,7 +8,6 @@
 import org.honeyjunction.core.control.messages.MachineCheckpoint
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.Clock
-import org.honeyjunction.io.KeyValueClient
 import org.honeyjunction.wire.CheckpointCodec
 import org.honeyjunction.wire.Entry
 import org.honeyjunction.wire.JobCodec
@@ -19,8 +18,8 @@
 /** The recovered [state] at the start of a term, and the revision from which changes of job records are followed. */
 internal class RecoveredTerm(val state: RecoveredState, val jobsRevision: Long)
 
-/** Reads the state that the leaders of earlier terms stored. */
-internal class TermRecovery(private val state: KeyValueClient, private val clock: Clock) {
+/** Reads the state that the leaders of earlier terms stored; [reader] decides whether a failed read is repeated. */
+internal class TermRecovery(private val reader: StateReader, private val clock: Clock) {
     private val log = LoggerFactory.getLogger(Node::class.java)
 
     /**
@@ -29,22 +28,27 @@
      */
     suspend fun recover(terminalRecords: TerminalRecordPlacement?): RecoveredTerm {
         val progress = RecoveryProgress(clock)
-        val (jobEntries, revision) = state.scan(Keys.JOBS)
-        val (active, terminated) = jobEntries.mapNotNull(::storedJob).partition { it.stage == JobStage.ACTIVE }
-        progress.completed("records of jobs", jobEntries.size)
-        val pages = state.scan(Keys.JOURNAL_PAGES).entries.mapNotNull(::journalPage)
+        val stored = ArrayList<StoredJob>()
+        val revision = reader.scan(Keys.JOBS) { page -> page.mapNotNullTo(stored, ::storedJob) }
+        progress.completed("records of jobs", stored.size)
+        val pages = ArrayList<JournalPageRecord>()
+        reader.scan(Keys.JOURNAL_PAGES) { page -> page.mapNotNullTo(pages, ::journalPage) }
         progress.completed("journal pages", pages.size)
-        val machines = state.scan(Keys.MACHINE_CHECKPOINTS).entries.flatMap(::machineCheckpoints)
+        val machines = ArrayList<MachineCheckpoint>()
+        reader.scan(Keys.MACHINE_CHECKPOINTS) { page -> page.flatMapTo(machines, ::machineCheckpoints) }
         progress.completed("checkpoints of machines", machines.size)
+        val (active, terminated) = stored.partition { it.stage == JobStage.ACTIVE }
         terminated.forEach { terminalRecords?.addInPlace(it.spec.id) }
         val jobs = withStartedJobs(active, terminated, pages)
         progress.completed("started jobs that have ended", jobs.size - active.size)
-        val checkpoint =
-            state.get(Keys.LEADER_CHECKPOINT).value?.let { value -> readOrNull { CheckpointCodec.readLeader(value) } } ?: LeaderCheckpoint()
+        val checkpoint = leaderCheckpoint()
         log.info("state-read: {}", progress)
         return RecoveredTerm(RecoveredState(jobs, pages, machines, checkpoint), revision)
     }
 
+    private suspend fun leaderCheckpoint(): LeaderCheckpoint =
+        reader.get(Keys.LEADER_CHECKPOINT).value?.let { value -> readOrNull { CheckpointCodec.readLeader(value) } } ?: LeaderCheckpoint()
+
     /**
      * The [active] jobs and those [terminated] jobs that [pages] name: tasks of a terminated job may still be on a machine, and
      * count towards the usage of the job's team.
@@ -57,11 +61,9 @@
         val started = pages.flatMapTo(HashSet()) { page -> page.starts.map { it.job } }
         val jobs = (active + terminated.filter { it.spec.id in started }).toMutableList()
         val missing = started - jobs.mapTo(HashSet()) { it.spec.id }
-        return missing.mapNotNullTo(jobs) { terminalRecord(it) }
+        return missing.mapNotNullTo(jobs) { storedJob(reader.get(Keys.terminalRecord(it))) }
     }
 
-    private suspend fun terminalRecord(id: String): StoredJob? = storedJob(state.get(Keys.terminalRecord(id)))
-
     private fun storedJob(entry: Entry): StoredJob? = entry.value?.let { value -> readOrNull { JobCodec.stored(value, entry.version) } }
 
     private fun machineCheckpoints(entry: Entry): List<MachineCheckpoint> =
--- a/src/main/kotlin/org/honeyjunction/io/KeyValueClient.kt
+++ b/src/main/kotlin/org/honeyjunction/io/KeyValueClient.kt
@@ -3,6 +3,7 @@
 import org.honeyjunction.wire.ChangeBatch
 import org.honeyjunction.wire.Condition
 import org.honeyjunction.wire.Entry
+import org.honeyjunction.wire.EntryPage
 import org.honeyjunction.wire.KeyValueCodec
 import org.honeyjunction.wire.Write
 
@@ -74,15 +75,19 @@
         val entries = ArrayList<Entry>()
         var firstRevision: Long? = null
         while (true) {
-            val path = KeyValueCodec.scanPath(prefix, after = entries.lastOrNull()?.key, limit = SCAN_PAGE_ENTRIES)
-            val response = requests.send("GET", path)
-            val page = parseResponse { KeyValueCodec.entryPage(requireOk(response).body) }
+            val page = page(prefix, after = entries.lastOrNull()?.key, limit = MAX_PAGE_ENTRIES)
             val revision = firstRevision ?: page.revision.also { firstRevision = it }
             entries += page.entries
             if (!page.more || page.entries.isEmpty()) return KeyScan(entries, revision)
         }
     }
 
+    /** Up to [limit] entries whose keys begin with [prefix], from the first key after [after] on (null: from the first of all). */
+    suspend fun page(prefix: String, after: String?, limit: Int): EntryPage {
+        val response = requests.send("GET", KeyValueCodec.scanPath(prefix, after, limit))
+        return parseResponse { KeyValueCodec.entryPage(requireOk(response).body) }
+    }
+
     /**
      * Watches keys that begin with [prefix]: waits up to [waitMs] for changes after revision [since]. Null when [since] is no
      * longer in the store's change log, so that a new [scan] is needed.
@@ -137,26 +142,31 @@
     /** Queue lengths and write rate, for the log. */
     fun statistics() = "writes: ${writer.queue.lengths()} queued, $queuedWrites in all, $writeRatePerS a second"
 
-    private companion object {
-        const val SCAN_PAGE_ENTRIES = 500
-        const val EXTEND_TIMEOUT_MS = 1_000L
+    companion object {
+        /** The largest number of entries that one request reads. */
+        const val MAX_PAGE_ENTRIES = 500
+        private const val EXTEND_TIMEOUT_MS = 1_000L
 
         /** Time that a watch may take beyond the time that the store is asked to wait. */
-        const val WATCH_SLACK_MS = 15_000L
+        private const val WATCH_SLACK_MS = 15_000L
 
         /** Queued writes that take more seconds than this count as congestion. */
-        const val CONGESTED_S = 2.0
+        private const val CONGESTED_S = 2.0
 
         /** Burst, as a share of the writes per second; the rest is left for leader terms, leases and clock differences. */
-        const val BURST_SHARE = 0.4
+        private const val BURST_SHARE = 0.4
 
         /** Maximum size of a joined transaction, as a share of the writes per second. */
-        const val JOINED_SHARE = 0.6
+        private const val JOINED_SHARE = 0.6
 
         /**
          * The store takes at most a second's worth of writes at once, and other nodes use part of it: a larger transaction
          * would never be applied.
          */
-        fun maxJoinedWrites(limits: StateLimits): Double = minOf(limits.transactionWrites.toDouble(), limits.writesPerS * JOINED_SHARE)
+        private fun maxJoinedWrites(limits: StateLimits): Double =
+            minOf(
+                limits.transactionWrites.toDouble(),
+                limits.writesPerS * JOINED_SHARE,
+            )
     }
 }
--- a/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
@@ -10,6 +10,7 @@
 import org.honeyjunction.wire.JournalPageCodec
 import org.honeyjunction.wire.Request
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -36,6 +37,18 @@
         assertEquals(if (disruption == Disruption.NONE) 1L else 2L, cluster.loopback.term(), "terms")
     }
 
+    /** Guards against a leader that begins anew, or gives its term up, for a single read of the stored state that got no answer. */
+    @Test
+    fun `single reads of the stored state that get no answer do not end the term`() {
+        val jobs = listOf(FaultyStateServiceCluster.job(1, 1.0, 0))
+        var reads = 0
+        val cluster = FaultyStateServiceCluster(1, jobs) { if (readsState(it) && reads++ % 3 == 2) Fate.Lost else Fate.Answered }
+        cluster.loopback.store.preload(endedJobs(ENDED_JOBS))
+        cluster.play(WAITING_LIMIT_MS)
+        assertEquals(emptyList<String>(), cluster.broken)
+        assertEquals(listOf(FakeUsers.Stage.DONE), cluster.users.jobs.map { it.stage })
+    }
+
     private suspend fun FaultyStateServiceCluster.disrupt(disruption: Disruption) {
         val killed =
             when (disruption) {
@@ -57,7 +70,8 @@
         val pages =
             specs.chunked(STARTS_PER_PAGE).mapIndexed { page, started ->
                 val starts = started.map { RecordedStart(it.id, 0, 1, "vm-000001") }
-                Put(Keys.journalPage(page), JournalPageCodec.write(JournalPageRecord(page, 0, starts, emptyMap()), page.toLong()), null)
+                val record = JournalPageRecord(page, 0, starts, emptyMap())
+                Put(Keys.journalPage(record.page), JournalPageCodec.write(record, record.page.toLong()), null)
             }
         return records + pages
     }
@@ -69,6 +83,9 @@
         const val FIRST_ENDED = 500_000
         const val STARTS_PER_PAGE = 75
         const val DISRUPTION_MS = 90_000L
+
+        /** The users' limit: no job waits for longer beside a machine that has room. */
+        const val WAITING_LIMIT_MS = 90_000L
         const val RESTART_MS = 300L
     }
 }
