A new leader reads the records of ended jobs in pages

With ten times the jobs it would take minutes, while a worker's lease lasts 22 to 28 s on the users' deployments. Cause: one request for each such job, one after the other. Change: StateReader.getAll reads the sorted keys by pages of the store that begin at the next wanted key, in four lanes. A key that its page lacks is read by itself, so nothing depends on the store's order of keys. Limits: where the wanted keys are scattered among many others, a request still reads one of them, four at a time.

--- a/src/main/kotlin/org/honeyjunction/app/StateReader.kt
+++ b/src/main/kotlin/org/honeyjunction/app/StateReader.kt
@@ -1,5 +1,8 @@
 package org.honeyjunction.app
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.honeyjunction.io.KeyValueClient
 import org.honeyjunction.wire.Entry
@@ -8,7 +11,7 @@
 import java.io.IOException
 
 /**
- * Reads many records of the state service. A failed read is repeated while [mayRetry] returns true, since among many
+ * Reads many records of the state service, in few requests. A failed read is repeated while [mayRetry] returns true, since among many
  * reads it is likely that some fail; functions throw [IOException] if it returns false or if [MAX_ATTEMPTS] attempts in a row failed.
  */
 internal class StateReader(private val store: KeyValueClient, private val mayRetry: () -> Boolean) {
@@ -31,6 +34,54 @@
 
     private suspend fun page(prefix: String, after: String?, limit: Int): EntryPage = retrying { store.page(prefix, after, limit) }
 
+    /**
+     * The entries at those of [keys] that exist; all keys begin with [prefix]. Keys that lie close to each other in the store are read
+     * together, so that the number of requests depends on how densely [keys] lie among the other keys.
+     */
+    suspend fun getAll(prefix: String, keys: Collection<String>): List<Entry> =
+        coroutineScope {
+            val sorted = keys.sorted()
+            val lanes = sorted.chunked(maxOf(MIN_LANE_KEYS, (sorted.size + LANES - 1) / LANES))
+            lanes.map { async { readLane(prefix, it) } }.awaitAll().flatten()
+        }
+
+    /** Reads the entries at the keys in [sorted], in order, by pages that begin at the next key to be read. */
+    private suspend fun readLane(prefix: String, sorted: List<String>): List<Entry> {
+        val found = ArrayList<Entry>()
+        var next = 0
+        var limit = MIN_PAGE_ENTRIES
+        while (next < sorted.size) {
+            val page = page(prefix, justBefore(sorted[next]), limit)
+            val end = maxOf(next + 1, firstKeyBeyond(page, sorted))
+            found += entriesAt(sorted.subList(next, end), page)
+            limit = nextLimit(limit, page.entries.size, end - next)
+            next = end
+        }
+        return found
+    }
+
+    /** The index of the first key in [sorted] that lies beyond [page]. */
+    private fun firstKeyBeyond(page: EntryPage, sorted: List<String>): Int {
+        val last = page.entries.lastOrNull()?.key
+        if (last == null || !page.more) return sorted.size
+        val index = sorted.binarySearch(last)
+        return if (index >= 0) index + 1 else -(index + 1)
+    }
+
+    /** The entries at [keys]. A key that [page] lacks is read by itself, so that no entry is missed whatever the store's order of keys. */
+    private suspend fun entriesAt(keys: List<String>, page: EntryPage): List<Entry> {
+        val byKey = page.entries.associateBy { it.key }
+        return keys.map { byKey[it] ?: get(it) }.filter { it.value != null }
+    }
+
+    /** Larger pages where most of the [read] entries were [wanted], smaller ones where few were. */
+    private fun nextLimit(limit: Int, read: Int, wanted: Int): Int =
+        when {
+            wanted * DENSE >= read -> minOf(limit * 2, KeyValueClient.MAX_PAGE_ENTRIES)
+            wanted * SPARSE < read -> maxOf(limit / 2, MIN_PAGE_ENTRIES)
+            else -> limit
+        }
+
     private suspend fun <T> retrying(read: suspend () -> T): T {
         repeat(MAX_ATTEMPTS - 1) {
             try {
@@ -45,7 +96,25 @@
     }
 
     private companion object {
+        /** Pages that are read at the same time; leaves connections and request budget to other requests, such as lease renewals. */
+        const val LANES = 4
+        const val MIN_LANE_KEYS = 16
+
+        /** So few entries cost little more than one. */
+        const val MIN_PAGE_ENTRIES = 16
+
+        /** Pages grow while at least one in so many entries is wanted. */
+        const val DENSE = 2
+
+        /** Pages shrink while fewer than one in so many entries is wanted. */
+        const val SPARSE = 8
         const val MAX_ATTEMPTS = 10
         const val RETRY_MS = 300L
+
+        /** Sorts after every character of a job id. */
+        const val HIGHEST_CHARACTER = '~'
+
+        /** A string that sorts before [key] with few other keys in between, whether or not it is a key itself. */
+        fun justBefore(key: String): String = key.dropLast(1) + (key.last() - 1) + HIGHEST_CHARACTER
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
@@ -61,7 +61,7 @@
         val started = pages.flatMapTo(HashSet()) { page -> page.starts.map { it.job } }
         val jobs = (active + terminated.filter { it.spec.id in started }).toMutableList()
         val missing = started - jobs.mapTo(HashSet()) { it.spec.id }
-        return missing.mapNotNullTo(jobs) { storedJob(reader.get(Keys.terminalRecord(it))) }
+        return reader.getAll(Keys.TERMINAL_RECORDS, missing.map(Keys::terminalRecord)).mapNotNullTo(jobs, ::storedJob)
     }
 
     private fun storedJob(entry: Entry): StoredJob? = entry.value?.let { value -> readOrNull { JobCodec.stored(value, entry.version) } }
--- a/src/test/kotlin/org/honeyjunction/app/FaultyStateServiceCluster.kt
+++ b/src/test/kotlin/org/honeyjunction/app/FaultyStateServiceCluster.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.app
 
+import com.fasterxml.jackson.databind.node.ObjectNode
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.honeyjunction.app.local.Controllers
@@ -47,12 +48,14 @@
     seed: Long,
     private val jobs: List<PlannedJob>,
     writesPerS: Double = 100.0,
+    changeSettings: (ObjectNode) -> Unit = {},
     private val fate: FaultyStateServiceCluster.(Request) -> Fate,
 ) {
     private val settings =
         LocalSettings(
             Json.readObject(javaClass.classLoader.getResource("local/settings.json")!!.readBytes()).also {
                 it.withObjectProperty("state").put("write_rps", writesPerS)
+                changeSettings(it)
             },
             null,
             MACHINES,
--- a/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.app
 
+import com.fasterxml.jackson.databind.node.ObjectNode
 import kotlinx.coroutines.delay
 import org.honeyjunction.core.control.journal.JournalPageRecord
 import org.honeyjunction.core.control.journal.RecordedStart
@@ -49,6 +50,34 @@
         assertEquals(listOf(FakeUsers.Stage.DONE), cluster.users.jobs.map { it.stage })
     }
 
+    /**
+     * Guards against a leader that reads the terminal records of ended jobs one after the other: what runs would be lost with the
+     * leases of its workers. The leases are those of the deployment cambio-rambla-fleet.
+     */
+    @Test
+    fun `running tasks outlive a change of leader though the journal still names thousands of ended jobs`() {
+        val jobs = listOf(FaultyStateServiceCluster.job(1, LONG_RUN_S, 0))
+        val leases = { settings: ObjectNode ->
+            settings.withObjectProperty("workers").put("report_s", 4.0).put("lease_s", 22.0).put("cancel_s", 47.0)
+            Unit
+        }
+        val cluster =
+            FaultyStateServiceCluster(1, jobs, changeSettings = leases) {
+                if (readsState(it)) Fate.Slow(SLOW_READ_MS) else Fate.Answered
+            }
+        cluster.play(2 * DISRUPTION_MS) {
+            delay(DISRUPTION_MS / 2 - now)
+            val leader = checkNotNull(loopback.leader())
+            kill(leader)
+            loopback.store.preload(endedJobs(MANY_ENDED_JOBS))
+            delay(RESTART_MS)
+            restart(leader)
+        }
+        assertEquals(emptyList<String>(), cluster.broken)
+        assertEquals(listOf(FakeUsers.Stage.DONE), cluster.users.jobs.map { it.stage })
+        assertEquals(1, cluster.loopback.watch.started, "starts")
+    }
+
     private suspend fun FaultyStateServiceCluster.disrupt(disruption: Disruption) {
         val killed =
             when (disruption) {
@@ -70,7 +99,7 @@
         val pages =
             specs.chunked(STARTS_PER_PAGE).mapIndexed { page, started ->
                 val starts = started.map { RecordedStart(it.id, 0, 1, "vm-000001") }
-                val record = JournalPageRecord(page, 0, starts, emptyMap())
+                val record = JournalPageRecord(FIRST_PAGE + page, 0, starts, emptyMap())
                 Put(Keys.journalPage(record.page), JournalPageCodec.write(record, record.page.toLong()), null)
             }
         return records + pages
@@ -80,7 +109,15 @@
         /** Just below the time after which a controller gives up a request to the state service. */
         const val READ_MS = 1_300L
         const val ENDED_JOBS = 40
+        const val MANY_ENDED_JOBS = 5_000
+
+        /** Three times what an answer of the state service usually takes at most. */
+        const val SLOW_READ_MS = 30L
+        const val LONG_RUN_S = 100.0
         const val FIRST_ENDED = 500_000
+
+        /** The pages before are those that the cluster writes itself. */
+        const val FIRST_PAGE = 10
         const val STARTS_PER_PAGE = 75
         const val DISRUPTION_MS = 90_000L
 
