--- a/src/main/kotlin/org/honeyjunction/core/control/journal/JournalPages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/JournalPages.kt
@@ -40,6 +40,9 @@
     val starts = LinkedHashSet<Placement>()
     val results = LinkedHashSet<ResultWindow>()
 
+    /** The identifiers of the jobs whose starts the stored page names, needed or not; a new leader reads the records of all of them. */
+    var storedJobs = emptySet<String>()
+
     /** Whether a write of this page is on its way. */
     var busy = false
 
--- a/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
@@ -23,8 +23,10 @@
  * service is limited.
  *
  * Every start that may have been sent to a worker, and every result that a worker may have been told to forget, is in a page.
- * Entries that are no longer needed are dropped when their page is written again. Each write of a page is a compare-and-swap
- * on the page's last known version, so a write that is applied late can't restore an older page.
+ * Entries that are no longer needed are dropped when their page is written again. A page that names many jobs that have ended is
+ * written again for that reason alone: a new leader reads the record of each job that a page names, and without it the pages would
+ * name as many jobs as ever ran at the same time. Each write of a page is a compare-and-swap on the page's last known version, so a
+ * write that is applied late can't restore an older page.
  *
  * An array may have tens of thousands of tasks that take seconds each. Its results are recorded as sets of task numbers,
  * window by window, and its starts by machine and attempt, so that each task adds only a few bytes; see [TaskNumberSet].
@@ -41,13 +43,18 @@
     /** The windows with results that are not in any page yet. */
     private val resultsDue = LinkedHashSet<ResultWindow>()
     private var nextWriteAt = Long.MIN_VALUE
+    private var nextCompactionAt = Long.MIN_VALUE
     private val pageCapacity get() = state.cluster.pageBytes
 
-    /** Takes over a page of an earlier term; [placements] and [done] are those of its entries that are still needed. */
-    fun restore(number: Int, version: Long, placements: List<Placement>, done: List<Task>) {
+    /**
+     * Takes over a page of an earlier term, which names starts of [storedJobs]; [placements] and [done] are those of its entries
+     * that are still needed.
+     */
+    fun restore(number: Int, version: Long, placements: List<Placement>, done: List<Task>, storedJobs: Set<String> = emptySet()) {
         while (pages.size <= number) pages += JournalPage(pages.size, 0)
         val page = pages[number]
         page.version = version
+        page.storedJobs = storedJobs
         page.starts += placements
         for (task in done) {
             val window = windowOf(task)
@@ -79,15 +86,39 @@
         "placement journal: ${startsDue.size} starts and ${resultsDue.sumOf { it.unwritten }} results to write, " +
             "${pages.size} pages, ${pages.count { it.busy }} busy"
 
-    /** Writes one page, if entries are due and the write rate allows it. */
+    /** Writes one page, if entries are due or a page names many jobs that have ended, and if the write rate allows it. */
     fun flush(now: Long) {
         startsDue.removeIf { it.removed || it.phase != Phase.RESERVED }
         resultsDue.removeIf { it.job.terminalRecord.state != TerminalRecord.State.OPEN }
-        if (startsDue.isEmpty() && resultsDue.isEmpty()) return
         if (now < nextWriteAt || pages.count { it.busy } >= MAX_BUSY_PAGES) return
+        val page = pageToWrite(now) ?: return
         nextWriteAt = now + state.cluster.pageWriteIntervalMs
         results.keys.removeIf { it.stage != JobStage.ACTIVE }
-        write(emptiestPage())
+        write(page)
+    }
+
+    private fun pageToWrite(now: Long): JournalPage? {
+        val entriesDue = startsDue.isNotEmpty() || resultsDue.isNotEmpty()
+        val outdated = if (now < nextCompactionAt) null else outdatedPage(entriesDue, now)
+        return outdated ?: if (entriesDue) emptiestPage() else null
+    }
+
+    /**
+     * The page that names the most ended jobs, if it is worth a write. If [entriesDue], the page must have room for new entries;
+     * otherwise nothing else may be on its way.
+     */
+    private fun outdatedPage(entriesDue: Boolean, now: Long): JournalPage? {
+        nextCompactionAt = now + COMPACTION_INTERVAL_MS
+        if (now >= state.leaseValidUntil || !entriesDue && pages.any { it.busy }) return null
+        val candidates = pages.filter { !it.busy && (!entriesDue || it.compact() <= pageCapacity / 2) }
+        val (page, endedJobs) = candidates.map { it to endedJobs(it) }.maxByOrNull { it.second } ?: return null
+        return page.takeIf { endedJobs >= MIN_ENDED_JOBS }
+    }
+
+    /** The number of ended jobs that the stored [page] names although none of their starts in it is needed. */
+    private fun endedJobs(page: JournalPage): Int {
+        val needed = page.starts.filterNot { it.removed }.mapTo(HashSet()) { it.task.job.spec.id }
+        return page.storedJobs.count { it !in state.active && it !in needed }
     }
 
     /** The page with the fewest bytes still needed, or a new one if all are more than half full. Reuse keeps the number of pages small. */
@@ -109,6 +140,7 @@
             when (outcome) {
                 is CommitOutcome.Applied -> {
                     page.version = outcome.version
+                    page.storedJobs = record.starts.mapTo(HashSet()) { it.job }
                     page.starts += newStarts
                     newStarts.forEach { if (!it.removed && it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, state.now) }
                     written.forEach { (window, numbers) -> markDurable(window, numbers, page) }
@@ -116,6 +148,7 @@
                 // The page may be durable with the old or the new content. Both have the old entries; the new ones are
                 // written again.
                 is CommitOutcome.Failed -> {
+                    page.storedJobs += record.starts.map { it.job }
                     outcome.version?.let { page.version = it }
                     startsDue += newStarts
                     resultsDue += newResults
@@ -175,5 +208,11 @@
     private companion object {
         /** Pages that are being written at the same time, at most. */
         const val MAX_BUSY_PAGES = 3
+
+        /** The minimum time between two writes that only drop entries. */
+        const val COMPACTION_INTERVAL_MS = 1_000L
+
+        /** The number of ended jobs in a page that is worth a write. Each of them has needed several writes before. */
+        const val MIN_ENDED_JOBS = 8
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderRecovery.kt
@@ -50,7 +50,9 @@
         val results = pages.associateWith { page -> page.done.flatMap { (job, numbers) -> tasks(job, numbers) } }
         results.values.flatten().forEach(components.lifecycle::restore)
         results.forEach { (page, done) ->
-            components.journal.restore(page.page, page.version, page.starts.mapNotNull(::recoverStart), done)
+            // A start of a job whose record can't be read stays in its page for as long as the page need not be written.
+            val knownJobs = page.starts.mapNotNullTo(HashSet()) { start -> start.job.takeIf { state.job(it) != null } }
+            components.journal.restore(page.page, page.version, page.starts.mapNotNull(::recoverStart), done, knownJobs)
         }
     }
 
--- a/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
@@ -180,4 +180,57 @@
         assertTrue(Json.write(json).size < 120, "$json")
         assertEquals(page, JournalPageCodec.read(page.page, page.version, Json.read(Json.write(json))))
     }
+
+    private fun reserveJobs(count: Int): List<Placement> =
+        List(count) {
+            val oneTask = spec.copy(id = "j-%06d".format(100 + it), tasks = 1)
+            val started = state.addJob(StoredJob(oneTask, "n", 0, 9, JobStage.ACTIVE), 0, 0)
+            val machine = state.addMachine("vm-000001", 0)
+            state.place(started.tasks[0], machine, state.nextSequence(), Phase.RESERVED, now).also(journal::add)
+        }
+
+    /** Flushes the journal for [seconds], with all writes applied; notes in [stored] which jobs each page names. Returns the number of writes. */
+    private fun flushFor(seconds: Int, stored: MutableMap<Int, Set<String>>): Int {
+        var writes = 0
+        repeat(seconds) {
+            for ((id, page) in flushedPages()) {
+                stored[page.page] = page.starts.map { it.job }.toSet()
+                state.committed(id, CommitOutcome.Applied(100L + writes++))
+            }
+        }
+        return writes
+    }
+
+    private fun end(start: Placement, removed: Boolean = true) {
+        start.task.job.enter(JobStage.DONE)
+        state.finishJob(start.task.job, now)
+        if (removed) state.remove(start, now)
+    }
+
+    /** Guards against pages that go on naming the ended jobs of the past's largest peak, whose records each new leader reads. */
+    @Test
+    fun `after many jobs ran at the same time and ended, the pages soon name few of them`() {
+        state.leaseGuard.renewed(Long.MAX_VALUE, 0)
+        val stored = HashMap<Int, Set<String>>()
+        val starts = reserveJobs(500)
+        flushFor(100, stored)
+        assertEquals(500, stored.values.flatten().toSet().size)
+        starts.drop(1).forEach(::end)
+        val writes = flushFor(stored.size * 2, stored)
+        val named = stored.values.flatten().toSet()
+        assertTrue("j-000100" in named, "the job that goes on is still recorded")
+        assertTrue(named.size <= stored.size * 8, "${named.size} jobs in ${stored.size} pages")
+        assertTrue(writes <= stored.size, "$writes writes for ${stored.size} pages")
+        assertEquals(0, flushFor(10, stored), "nothing is written any more")
+    }
+
+    @Test
+    fun `ended jobs whose tasks may still be on machines are not written again and again`() {
+        state.leaseGuard.renewed(Long.MAX_VALUE, 0)
+        val stored = HashMap<Int, Set<String>>()
+        val starts = reserveJobs(50)
+        flushFor(20, stored)
+        starts.forEach { end(it, removed = false) }
+        assertEquals(0, flushFor(10, stored))
+    }
 }
