A leader that reads all job records again does so page by page

Change: JobFollower reads them by StateReader, which decodes each page between two requests and repeats a failed read. Result: not measured; no fault was seen.

--- a/src/main/kotlin/org/honeyjunction/app/leader/JobFollower.kt
+++ b/src/main/kotlin/org/honeyjunction/app/leader/JobFollower.kt
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import org.honeyjunction.app.Keys
+import org.honeyjunction.app.StateReader
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.KeyValueClient
 import org.honeyjunction.wire.JobCodec
@@ -13,6 +15,7 @@
 /** Watches the records of active jobs in the key-value store, so that the leader observes jobs that other nodes accepted. */
 internal class JobFollower(private val context: TermContext, private val store: KeyValueClient) {
     private val log = LoggerFactory.getLogger(JobFollower::class.java)
+    private val reader = StateReader(store) { context.scope.isActive }
 
     /** Watches all changes after the revision [from]; never returns. */
     suspend fun followJobs(from: Long) {
@@ -22,9 +25,7 @@
                 val changes = store.changes(Keys.JOBS, since, WATCH_TIMEOUT_MS)
                 if (changes == null) {
                     // The store does not keep changes since this revision any more: all records are read again.
-                    val (entries, revision) = store.scan(Keys.JOBS)
-                    entries.forEach { entry -> entry.value?.let { observe(it, entry.version) } }
-                    since = revision
+                    since = reader.scan(Keys.JOBS) { page -> page.forEach { entry -> entry.value?.let { observe(it, entry.version) } } }
                     continue
                 }
                 val (revision, changed) = changes
