What a new leader reads, in one place

No change of behaviour; SlowRecoveryTest, CancellationDuringHandoverTest, UnknownWriteOutcomeTest, RulesStoreTest and ArchitectureTest pass.

--- a/src/main/kotlin/org/honeyjunction/app/Leadership.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Leadership.kt
@@ -29,7 +29,7 @@
     private val settings = node.settings
     private val clock = node.clock
     private val election = node.election
-    private val recovery = TermRecovery(StateReader(node.state) { clock.steady() < leaseValidUntil }, clock)
+    private val recovery = TermRecovery(StateReader(node.state) { clock.steady() < leaseValidUntil }, clock, node.rules, registry)
     private val peerConfirmation = PeerLeaseConfirmation(settings.node, node.peers, clock, ::observeTerm)
     private var termStartedAt = Long.MIN_VALUE
 
@@ -83,7 +83,7 @@
     private suspend fun recoverAndStart(term: Term) {
         val wonAt = clock.steady()
         val terminalRecords = if (registry == null) TerminalRecordPlacement(settings.stateLimits.writesPerS) else null
-        val recovered = recoverOrResign(term, terminalRecords) ?: return
+        val recovered = recovery.recover(term.number, terminalRecords) ?: return election.resign(term)
         if (!isCurrent(term)) return
         val current = createDriver(term, recovered, terminalRecords)
         startTerm(current, recovered.jobsRevision)
@@ -96,25 +96,6 @@
         )
     }
 
-    /**
-     * Reads the rules in force and the stored state. Both must be known before the leader starts any task, so if either can't be
-     * read, this node resigns [term] and the result is null.
-     */
-    private suspend fun recoverOrResign(term: Term, terminalRecords: TerminalRecordPlacement?): RecoveredTerm? {
-        try {
-            node.rules?.refresh()
-            registry?.readAll()
-            return recovery.recover(terminalRecords)
-        } catch (e: IOException) {
-            log.warn("election-refused: term {}: the stored state can't be read: {}", term.number, e.message)
-        } catch (e: MalformedException) {
-            // An unreadable journal page may name a running task; starting tasks without knowing it could start that task twice.
-            log.error("term {}: malformed stored state: {}", term.number, e.message)
-        }
-        election.resign(term)
-        return null
-    }
-
     private fun createDriver(term: Term, recovered: RecoveredTerm, terminalRecords: TerminalRecordPlacement?): LeaderDriver {
         val leader =
             Leader(
--- a/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/app/TermRecovery.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.app
 
+import org.honeyjunction.app.nomad.NomadRegistry
 import org.honeyjunction.core.admission.TerminalRecordPlacement
 import org.honeyjunction.core.control.journal.JournalPageRecord
 import org.honeyjunction.core.control.leader.RecoveredState
@@ -14,19 +15,42 @@
 import org.honeyjunction.wire.JournalPageCodec
 import org.honeyjunction.wire.MalformedException
 import org.slf4j.LoggerFactory
+import java.io.IOException
 
 /** The recovered [state] at the start of a term, and the revision from which changes of job records are followed. */
 internal class RecoveredTerm(val state: RecoveredState, val jobsRevision: Long)
 
-/** Reads the state that the leaders of earlier terms stored; [reader] decides whether a failed read is repeated. */
-internal class TermRecovery(private val reader: StateReader, private val clock: Clock) {
+/**
+ * Reads what a new leader has to know before it starts any task: the rules in force, registered jobs, and the state that the leaders of
+ * earlier terms stored. [reader] decides whether a failed read of that state is repeated. [rules] and [registry] are null if disabled.
+ */
+internal class TermRecovery(
+    private val reader: StateReader,
+    private val clock: Clock,
+    private val rules: RulesStore?,
+    private val registry: NomadRegistry?,
+) {
     private val log = LoggerFactory.getLogger(Node::class.java)
 
     /**
-     * Reads jobs, journal pages and checkpoints, and adds to [terminalRecords] the terminal records that are still stored among
-     * the records of active jobs. Throws [MalformedException] for a malformed journal page, since the page may name a running task.
+     * Reads everything for [term], and adds to [terminalRecords] the terminal records that are still stored among the records of active
+     * jobs. The result is null, and a line is logged, if something can't be read.
      */
-    suspend fun recover(terminalRecords: TerminalRecordPlacement?): RecoveredTerm {
+    suspend fun recover(term: Long, terminalRecords: TerminalRecordPlacement?): RecoveredTerm? {
+        try {
+            rules?.refresh()
+            registry?.readAll()
+            return readState(terminalRecords)
+        } catch (e: IOException) {
+            log.warn("election-refused: term {}: the stored state can't be read: {}", term, e.message)
+        } catch (e: MalformedException) {
+            // An unreadable journal page may name a running task; starting tasks without knowing it could start that task twice.
+            log.error("term {}: malformed stored state: {}", term, e.message)
+        }
+        return null
+    }
+
+    private suspend fun readState(terminalRecords: TerminalRecordPlacement?): RecoveredTerm {
         val progress = RecoveryProgress(clock)
         val stored = ArrayList<StoredJob>()
         val revision = reader.scan(Keys.JOBS) { page -> page.mapNotNullTo(stored, ::storedJob) }
