A test of a new leader that loses its lease while it reads the stored state

The state service refuses the first leader alone, in the middle of its reading: another controller wins the next term and the job runs; the first gives its term up when its lease has ended.

--- a/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SlowRecoveryTest.kt
@@ -11,6 +11,7 @@
 import org.honeyjunction.wire.JournalPageCodec
 import org.honeyjunction.wire.Request
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
@@ -50,6 +51,26 @@
         assertEquals(listOf(FakeUsers.Stage.DONE), cluster.users.jobs.map { it.stage })
     }
 
+    /** Guards against a new leader that goes on reading, or acts on what it read, after it has lost its lease. */
+    @Test
+    fun `a new leader that the state service refuses while it reads the stored state gives way to another`() {
+        val jobs = listOf(FaultyStateServiceCluster.job(1, 1.0, 0))
+        val cluster = FaultyStateServiceCluster(1, jobs) { if (readsState(it)) Fate.Slow(READ_MS) else Fate.Answered }
+        cluster.loopback.store.preload(endedJobs(ENDED_JOBS))
+        var refused = -1
+        var nextLeader: Int? = null
+        cluster.play(WAITING_LIMIT_MS) {
+            delay(REFUSED_AT_MS - now)
+            refused = checkNotNull(loopback.leader())
+            loopback.refuse(refused, REFUSED_FOR_MS)
+            delay(REFUSED_FOR_MS)
+            nextLeader = loopback.leader()
+        }
+        assertEquals(emptyList<String>(), cluster.broken)
+        assertEquals(listOf(FakeUsers.Stage.DONE), cluster.users.jobs.map { it.stage })
+        assertTrue(nextLeader != null && nextLeader != refused, "node $refused was refused, node $nextLeader leads")
+    }
+
     /**
      * Guards against a leader that reads the terminal records of ended jobs one after the other: what runs would be lost with the
      * leases of its workers. The leases are those of the deployment cambio-rambla-fleet.
@@ -123,5 +144,11 @@
         /** The users' limit: no job waits for longer beside a machine that has room. */
         const val WAITING_LIMIT_MS = 90_000L
         const val RESTART_MS = 300L
+
+        /** While the first leader reads the stored state. */
+        const val REFUSED_AT_MS = 2_500L
+
+        /** Several times the leader lease. */
+        const val REFUSED_FOR_MS = 20_000L
     }
 }
