--- a/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
@@ -90,17 +90,14 @@
     fun flush(now: Long) {
         startsDue.removeIf { it.removed || it.phase != Phase.RESERVED }
         resultsDue.removeIf { it.job.terminalRecord.state != TerminalRecord.State.OPEN }
+        val entriesDue = startsDue.isNotEmpty() || resultsDue.isNotEmpty()
+        if (!entriesDue && now < nextCompactionAt) return
         if (now < nextWriteAt || pages.count { it.busy } >= MAX_BUSY_PAGES) return
-        val page = pageToWrite(now) ?: return
+        val outdated = if (now < nextCompactionAt) null else outdatedPage(entriesDue, now)
+        if (!entriesDue && outdated == null) return
         nextWriteAt = now + state.cluster.pageWriteIntervalMs
         results.keys.removeIf { it.stage != JobStage.ACTIVE }
-        write(page)
-    }
-
-    private fun pageToWrite(now: Long): JournalPage? {
-        val entriesDue = startsDue.isNotEmpty() || resultsDue.isNotEmpty()
-        val outdated = if (now < nextCompactionAt) null else outdatedPage(entriesDue, now)
-        return outdated ?: if (entriesDue) emptiestPage() else null
+        write(outdated ?: emptiestPage())
     }
 
     /**
@@ -110,13 +107,13 @@
     private fun outdatedPage(entriesDue: Boolean, now: Long): JournalPage? {
         nextCompactionAt = now + COMPACTION_INTERVAL_MS
         if (now >= state.leaseValidUntil || !entriesDue && pages.any { it.busy }) return null
-        val candidates = pages.filter { !it.busy && (!entriesDue || it.compact() <= pageCapacity / 2) }
-        val (page, endedJobs) = candidates.map { it to endedJobs(it) }.maxByOrNull { it.second } ?: return null
-        return page.takeIf { endedJobs >= MIN_ENDED_JOBS }
+        val outdated = pages.filter { !it.busy && endedJobs(it) >= MIN_ENDED_JOBS }
+        return outdated.filter { !entriesDue || it.compact() <= pageCapacity / 2 }.maxByOrNull(::endedJobs)
     }
 
-    /** The number of ended jobs that the stored [page] names although none of their starts in it is needed. */
+    /** The number of ended jobs that the stored [page] names although none of their starts in it is needed; 0 if it is small. */
     private fun endedJobs(page: JournalPage): Int {
+        if (page.storedJobs.count { it !in state.active } < MIN_ENDED_JOBS) return 0
         val needed = page.starts.filterNot { it.removed }.mapTo(HashSet()) { it.task.job.spec.id }
         return page.storedJobs.count { it !in state.active && it !in needed }
     }
