--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -77,10 +77,19 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
+    private static final Random PORTS = new Random();
+
+    /** A free port below the ports that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1000; i++) {
+            int port = 10_000 + PORTS.nextInt(22_000);
+            try (ServerSocket s = new ServerSocket(port, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
+                return s.getLocalPort();
+            } catch (java.net.BindException e) {
+                // The next one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
     // ---------------------------------------------------------------- HTTP
@@ -481,12 +490,17 @@
             return !stage.equals("ended");
         }
 
+        /** A task that begins and completes together with others, see World.gangs. */
+        boolean gang() {
+            return spec.kind.equals("ensemble") && spec.cells > 1;
+        }
+
         boolean onMachine() {
             return live() && !stage.equals("fetching");
         }
     }
 
-    /** One machine with its worker. Gangs have one task each here, so that each starts by itself. */
+    /** One machine with its worker. */
     static final class Worker {
         final World world;
         final String name;
@@ -564,11 +578,13 @@
                             t.stage = "ended";
                             t.cause = "done";
                         } else {
-                            t.stage = "running";
+                            t.stage = t.gang() ? "gathering" : "running";
                             world.entered(this, t);
                         }
                     }
-                } else if (t.stage.equals("running") && !t.spec.kind.equals("standing") && now() - t.since >= t.spec.runS * 1000) {
+                } else if (t.stage.equals("gathering") && now() - t.since > world.gangWaitMs) {
+                    exit(t, "incomplete");
+                } else if (t.stage.equals("running") && !t.gang() && !t.spec.kind.equals("standing") && now() - t.since >= t.spec.runS * 1000) {
                     results.add(t.cell);
                     exit(t, "done");
                 }
@@ -833,6 +849,8 @@
         long reportMs;
         long leaseMs;
         long cancelMs;
+        long gangWaitMs;
+        long gangPeerMs;
         long listLagMs;
         double fetchGbPerS = 4;
         double cpus;
@@ -880,6 +898,53 @@
             if (started <= 400) log("%s: %s attempt %d exits: %s", w.name, t.cell, t.attempt, cause);
         }
 
+        /** Tasks of a gang start together once all have their image, complete together, and exit when one of a running gang is gone. */
+        private void gangs() {
+            Map<String, Long> incompleteSince = new HashMap<>();
+            while (!over) {
+                Map<String, List<Object[]>> members = new HashMap<>();
+                for (Worker w : workers.values()) {
+                    if (w.silent()) continue;
+                    synchronized (w) {
+                        for (Task t : w.tasks.values()) {
+                            if (t.spec == null || !t.gang() || !t.onMachine()) continue;
+                            members.computeIfAbsent(t.spec.id + "#" + t.attempt, k -> new ArrayList<>()).add(new Object[] {w, t});
+                        }
+                    }
+                }
+                for (var e : members.entrySet()) {
+                    List<Object[]> all = e.getValue();
+                    Spec spec = ((Task) all.get(0)[1]).spec;
+                    boolean whole = all.size() == spec.cells;
+                    boolean running = all.stream().anyMatch(m -> ((Task) m[1]).stage.equals("running"));
+                    if (whole) incompleteSince.remove(e.getKey());
+                    if (whole && !running) {
+                        for (Object[] m : all) gangStep((Worker) m[0], (Task) m[1], "running");
+                        log("gang %s runs", e.getKey());
+                    } else if (whole && now() - ((Task) all.get(0)[1]).since >= spec.runS * 1000) {
+                        for (Object[] m : all) gangStep((Worker) m[0], (Task) m[1], "done");
+                    } else if (!whole && running && now() - incompleteSince.computeIfAbsent(e.getKey(), k -> now()) > gangPeerMs / 2) {
+                        for (Object[] m : all) gangStep((Worker) m[0], (Task) m[1], "peers");
+                    }
+                }
+                sleep(50);
+            }
+        }
+
+        private void gangStep(Worker w, Task t, String to) {
+            synchronized (w) {
+                if (w.dead || !t.live()) return;
+                if (!to.equals("running")) {
+                    if (to.equals("done")) w.results.add(t.cell);
+                    w.exit(t, to);
+                    return;
+                }
+                t.stage = "running";
+                t.since = now();
+                w.changes++;
+            }
+        }
+
         void commanded(Worker w, String cell, long attempt, String refusal) {
             if (started <= 400) log("%s: start %s attempt %d%s", w.name, cell, attempt, refusal == null ? "" : " refused: " + refusal);
         }
@@ -983,6 +1048,9 @@
             reportMs = (long) (w.get("report_s").asDouble() * 1000);
             leaseMs = (long) (w.get("lease_s").asDouble() * 1000);
             cancelMs = (long) (w.get("cancel_s").asDouble() * 1000);
+            gangWaitMs = (long) (w.get("gang_wait_s").asDouble() * 1000);
+            gangPeerMs = (long) (w.get("gang_peer_s").asDouble() * 1000);
+            spawn(this::gangs);
             listLagMs = (long) (params.get("cloud").get("list_lag_s").asDouble() * 1000);
             zones = new ArrayList<>();
             params.get("zones").forEach(z -> zones.add(z.asText()));
