--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -441,6 +441,8 @@
         final double cpus;
         final double gpus;
         final double memory;
+        /** Whether its tasks fail at their end. */
+        volatile boolean fails;
 
         Spec(ObjectNode json, double runS) {
             this.json = json;
@@ -585,8 +587,8 @@
                 } else if (t.stage.equals("gathering") && now() - t.since > world.gangWaitMs) {
                     exit(t, "incomplete");
                 } else if (t.stage.equals("running") && !t.gang() && !t.spec.kind.equals("standing") && now() - t.since >= t.spec.runS * 1000) {
-                    results.add(t.cell);
-                    exit(t, "done");
+                    if (!t.spec.fails) results.add(t.cell);
+                    exit(t, t.spec.fails ? "error" : "done");
                 }
             }
         }
@@ -945,7 +947,11 @@
             }
         }
 
+        /** When the first start command of a task was carried out. */
+        final Map<String, Long> firstStart = new ConcurrentHashMap<>();
+
         void commanded(Worker w, String cell, long attempt, String refusal) {
+            if (refusal == null) firstStart.putIfAbsent(cell, now());
             if (started <= 400) log("%s: start %s attempt %d%s", w.name, cell, attempt, refusal == null ? "" : " refused: " + refusal);
         }
 
