--- a/review/standins-2/Case4.java
+++ b/review/standins-2/Case4.java
@@ -24,8 +24,8 @@
         Kit.Spec large = Kit.job("j-3", "blend-team", "ensemble", "low", 60, 1, 1, 4, 60);
         submit(world, other, 0);
         submit(world, large, 1);
-        submit(world, task, 2);
         await(world, "j-1/0", 20_000);
+        submit(world, task, 2);
         await(world, "j-2/0", 20_000);
         Kit.Worker machine = world.workers.values().stream().filter(w -> w.tasks.values().stream().anyMatch(t -> t.cell.equals("j-2/0"))).findFirst().orElse(null);
         if (machine == null) Kit.exit(world, 2, "the task is on no machine");
