Review: a script ends itself and its controllers within its time, whatever stands still

Cause: the end waited for the lock of the stand-ins, so a script of case 4 that stood still and was ended by SIGTERM left controllers. Change: a lock of its own for the end, and a limit of 118 s.

--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -35,6 +35,9 @@
     static final long T0 = System.nanoTime();
     static PrintWriter record;
     static volatile boolean over;
+
+    /** A script ends itself after this time, whatever stands still. */
+    static final long MOST_MS = 118_000;
     /** Whether reports list live tasks before ended ones, as in the example of the protocol page; otherwise in the order of their starts. */
     static boolean liveFirst;
 
@@ -1091,6 +1094,10 @@
                 processes.add(b.start());
             }
             Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+            spawn(() -> {
+                sleepUntil(MOST_MS);
+                exit(this, 2, "the script's time is over");
+            });
         }
 
         /** The address at which [from] reaches [to]; a case may put a proxy there. */
@@ -1116,10 +1123,13 @@
         }
 
         /** Ends the controllers, copies what matters of their logs to the record, and removes the temporary folder. */
-        synchronized void end() {
-            if (over) return;
-            over = true;
-            for (Process p : processes) p.destroyForcibly();
+        void end() {
+            // A lock of its own: the end must not wait for a stand-in that stands still.
+            synchronized (processes) {
+                if (over) return;
+                over = true;
+                for (Process p : processes) p.destroyForcibly();
+            }
             try {
                 for (Process p : processes) p.waitFor();
                 for (int i = 0; i < nodes.size(); i++) {
@@ -1147,10 +1157,12 @@
             }
         }
 
-        synchronized void restart(int node) throws IOException {
-            if (over) return;
+        void restart(int node) throws IOException {
+            synchronized (processes) {
+                if (over) return;
+                processes.set(node, builders.get(node).start());
+            }
             log("%s is started again", nodes.get(node).name);
-            processes.set(node, builders.get(node).start());
         }
 
         void signal(int node, String signal) throws Exception {
