A report may list several attempts of a task: match them by attempt

A task was stopped and started again on a machine that could not report meanwhile. It ran on, and the leader after the next crash started it on another machine too, well within the first machine's lease.

Cause: HeartbeatProcessor.reconcileTasks kept one entry for each task, the last that the report listed. A worker lists an attempt until it is told to forget it, so the ended first attempt and the running second one stand in one report. Where the ended one came last, the running placement counted as gone: it was removed, and a moment later the same attempt was placed anew. From then on no page named the task while it ran, and a new leader takes such a task for one that is on no machine.

Change: placements are matched with the attempts that a report lists. Ended attempts are handled before live ones, so that the result does not depend on the order of a report.

The workers of the simulations kept one attempt for each task too and so could not show the fault. They now list all attempts, in a drawn order, and the history checks compare the stored pages with the tasks on the machines.

--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -5,6 +5,7 @@
 import org.honeyjunction.core.control.jobs.evict
 import org.honeyjunction.core.control.jobs.requestStop
 import org.honeyjunction.core.control.leader.ClusterState
+import org.honeyjunction.core.control.messages.AttemptId
 import org.honeyjunction.core.control.messages.Heartbeat
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
@@ -57,17 +58,23 @@
         if (machine.placements.isEmpty() && machine.idleSince == Long.MIN_VALUE) machine.idleSince = now
     }
 
+    /**
+     * The attempts are matched by their numbers, not by their tasks: a task that was started again on the machine is listed in several
+     * attempts. Ended attempts come first, so that a live attempt is placed whichever of them the report lists first.
+     */
     private fun reconcileTasks(machine: Machine, report: Heartbeat, newSession: Boolean, now: Long) {
-        val reportedTasks = report.tasks.associateBy { it.task }
+        val listed = report.tasks.mapTo(HashSet()) { it.id }
         for (placement in machine.placements.values.toList()) {
-            val reported = reportedTasks[placement.task.id]
-            if (reported?.attempt == placement.attempt) continue
-            if (provesAbsence(placement, report, newSession)) state.remove(placement, now)
+            if (placement.id !in listed && provesAbsence(placement, report, newSession)) state.remove(placement, now)
         }
-        machine.reportedEndedTasks = report.tasks.count { it.state is TaskState.Ended }
-        report.tasks.forEach { reconcileTask(machine, it, now) }
+        val (ended, live) = report.tasks.partition { it.state is TaskState.Ended }
+        machine.reportedEndedTasks = ended.size
+        ended.forEach { reconcileTask(machine, it, now) }
+        live.forEach { reconcileTask(machine, it, now) }
     }
 
+    private val Placement.id get() = AttemptId(task.job.spec.id, task.number, attempt)
+
     /** Whether [report], which does not list [placement], proves that the task neither runs nor can still start on the machine. */
     private fun provesAbsence(placement: Placement, report: Heartbeat, newSession: Boolean): Boolean =
         when (placement.phase) {
--- a/src/main/kotlin/org/honeyjunction/core/control/messages/Heartbeat.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/messages/Heartbeat.kt
@@ -21,8 +21,13 @@
     data class Ended(val cause: TerminationReason, val saved: Boolean) : TaskState
 }
 
+/** Identifies one start of task [number] of [job]. A worker may list several attempts of the same task. */
+data class AttemptId(val job: String, val number: Int, val attempt: Long)
+
 /** One attempt of a task in a heartbeat; [attempt] distinguishes the starts of the same task. */
 data class ReportedTask(val job: String, val number: Int, val attempt: Long, val state: TaskState) {
+    val id get() = AttemptId(job, number, attempt)
+
     /** The identifier of the task, which consists of the identifier of its job and its number. */
     val task get() = "$job/$number"
 }
@@ -33,6 +38,9 @@
  * [session] is the incarnation of the agent, and [sequence] orders the heartbeats within it. [token] is the highest fencing
  * token that the worker has seen. [spotNoticeS] is the time in seconds until the cloud reclaims the spot instance; null without
  * a notice.
+ *
+ * [tasks] lists every attempt on the machine, in any order, including the ended ones that the worker was not told to forget. So it may
+ * list several attempts of one task, of which at most one has not ended.
  */
 data class Heartbeat(
     val machine: String,
--- a/src/main/kotlin/org/honeyjunction/fake/FakeWorker.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/FakeWorker.kt
@@ -8,8 +8,14 @@
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.Resources
-
-/** A fake of a worker and its machine, as PROTOCOL describes them. It does no input or output; all times are milliseconds. */
+import java.util.Random
+
+/**
+ * A fake of a worker and its machine, as PROTOCOL describes them. It does no input or output; all times are milliseconds.
+ *
+ * Its reports list every attempt that it was not told to forget: besides a live attempt of a task also the ended attempts of the same
+ * task. The protocol does not say in which order, so that each report draws one.
+ */
 class FakeWorker(
     val box: MachineSpec,
     private val timing: Timing,
@@ -18,6 +24,9 @@
     private val checkpoints: MutableMap<String, Double>,
     private val completed: MutableSet<String> = HashSet(),
 ) {
+    /** One start of the task with the identifier [task]. */
+    data class Attempt(val task: String, val number: Long)
+
     class Timing(val leaseMs: Long, val gangWaitMs: Long, val gangPeerMs: Long)
 
     class Task(val work: Work, val number: Int, val attempt: Long, state: TaskState, now: Long) {
@@ -45,10 +54,13 @@
     }
 
     val name get() = box.name
-    val tasks = LinkedHashMap<String, Task>()
+
+    /** All attempts that the worker lists; at most one attempt of a task is live. */
+    val tasks = LinkedHashMap<Attempt, Task>()
     private val images = LinkedHashMap<String, Double>(16, 0.75f, true)
     private val fetches = LinkedHashMap<String, Double>()
     private val results = HashSet<String>()
+    private val random = Random(name.hashCode().toLong())
     var dead = false
     var hungUntil = 0L
     var cutUntil = 0L
@@ -174,9 +186,12 @@
             ++sequence,
             token,
             noticeS,
-            tasks.values.map { ReportedTask(it.spec.id, it.number, it.attempt, it.state) },
+            tasks.values.shuffled(random).map { ReportedTask(it.spec.id, it.number, it.attempt, it.state) },
         )
 
+    /** The attempt of the task with the identifier [task] that has not ended; null if there is none. */
+    fun liveAttempt(task: String): Task? = tasks.values.find { it.live && it.id == task }
+
     /** Handles the response to the heartbeat of [sentAt], which renews the lease; false: dropped, as its token or session is old. */
     fun answered(sentAt: Long, ofSession: Long, withToken: Long, commands: List<Command>, now: Long): Boolean {
         if (withToken < token || ofSession != session) return false
@@ -202,17 +217,13 @@
     private fun execute(command: Command, now: Long) {
         when (command) {
             is Command.Start -> start(command, now)
-            is Command.Stop -> {
-                val task = tasks[command.task]
-                if (task != null && task.attempt == command.attempt && task.live) stop(task, command.graceS, now)
-            }
-            is Command.Forget -> {
-                val task = tasks[command.task]
-                if (task != null && task.attempt == command.attempt && !task.live) tasks.remove(command.task)
-            }
+            is Command.Stop -> tasks[attemptOf(command)]?.takeIf { it.live }?.let { stop(it, command.graceS, now) }
+            is Command.Forget -> attemptOf(command).let { if (tasks[it]?.live == false) tasks.remove(it) }
         }
     }
 
+    private fun attemptOf(command: Command) = Attempt(command.task, command.attempt)
+
     private fun stop(task: Task, graceS: Double, now: Long) {
         val saves = task.spec.checkpointS > 0 && graceS >= task.spec.saveS
         if (saves && task.state == TaskState.Saving) return
@@ -224,20 +235,20 @@
     }
 
     private fun start(command: Command.Start, now: Long) {
-        val known = tasks[command.task]
-        if (known != null && known.attempt == command.attempt) return
-        val job = work(command.task.substringBeforeLast('/')) ?: return refuse(null, command, TerminationReason.UNKNOWN_JOB, now)
-        if (known != null && known.live) return refuse(job, command, TerminationReason.BUSY, now)
+        if (attemptOf(command) in tasks) return
+        // The fake cannot list an attempt of a job that it does not know.
+        val job = work(command.task.substringBeforeLast('/')) ?: return
+        if (liveAttempt(command.task) != null) return refuse(job, command, TerminationReason.BUSY, now)
         if (!(used() + job.spec.need).fitsIn(box.size)) return refuse(job, command, TerminationReason.NO_ROOM, now)
-        changes++
-        tasks[command.task] = Task(job, command.task.substringAfterLast('/').toInt(), command.attempt, TaskState.Fetching, now)
+        add(job, command, TaskState.Fetching, now)
         if (job.spec.image !in images) fetches.putIfAbsent(job.spec.image, job.spec.imageGb)
     }
 
-    private fun refuse(job: Work?, command: Command.Start, reason: TerminationReason, now: Long) {
-        // A refused start does not displace the task that is there; one of an unknown job cannot even be reported.
-        if (job == null || reason == TerminationReason.BUSY) return
+    private fun refuse(job: Work, command: Command.Start, reason: TerminationReason, now: Long) =
+        add(job, command, TaskState.Ended(reason, false), now)
+
+    private fun add(job: Work, command: Command.Start, state: TaskState, now: Long) {
         changes++
-        tasks[command.task] = Task(job, command.task.substringAfterLast('/').toInt(), command.attempt, TaskState.Ended(reason, false), now)
+        tasks[attemptOf(command)] = Task(job, command.task.substringAfterLast('/').toInt(), command.attempt, state, now)
     }
 }
--- a/src/main/kotlin/org/honeyjunction/fake/HistoryChecker.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/HistoryChecker.kt
@@ -15,6 +15,9 @@
     val final get() = this >= DONE
 }
 
+/** A task and a machine on which a page of the placement journal says that it may have been started. */
+data class RecordedPlace(val task: String, val machine: String)
+
 /** Checks the rules of PROTOCOL against the tasks that really are on the machines, and against responses to users. */
 class HistoryChecker(private val limits: Map<String, Resources>, private val cancelMs: Long) {
     class Live(val worker: FakeWorker, val task: FakeWorker.Task)
@@ -77,6 +80,17 @@
         for ((id, since) in cancelledAt) if (now - since > cancelMs && id in byJob) note(now, "ran_cancelled: $id")
     }
 
+    /**
+     * Checks that [recorded], the places that the stored journal names, include every task on a machine: a new leader takes a task that
+     * no page names for one that is on no machine.
+     */
+    fun checkRecorded(recorded: Set<RecordedPlace>, workers: Collection<FakeWorker>, now: Long) {
+        for (worker in workers.filter { it.holds(now) }) {
+            val unrecorded = worker.tasks.values.filter { it.live && RecordedPlace(it.id, worker.name) !in recorded }
+            unrecorded.forEach { note(now, "unrecorded: ${it.id} in attempt ${it.attempt} on ${worker.name}") }
+        }
+    }
+
     /** Records a violation, as long as there are not too many. */
     fun note(now: Long, what: String) {
         if (broken.size < MAX_BROKEN) broken += "$now $what"
--- a/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
@@ -9,6 +9,7 @@
 import org.honeyjunction.io.EventLoop
 import org.honeyjunction.io.HttpClient
 import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.JournalPageCodec
 import org.honeyjunction.wire.fieldOrNull
 import java.io.IOException
 import java.util.Random
@@ -54,6 +55,7 @@
         private set
     private val awaited = ArrayList<Pair<Fault.Moment, CompletableDeferred<Unit>>>()
     private var lastTerm = 0L
+    private var nextJournalCheckAt = 0L
     private var ended = 0
     private val stateServers = nodes.map { StateServer(loop.withHostName(STATE), store, Random(random.nextLong()), ::now) }
     private val cloudServer =
@@ -100,6 +102,7 @@
         workers.forEach { it.advance(now) }
         gangs.step(workers, now)
         watch.check(workers, now)
+        if (now >= nextJournalCheckAt) checkJournal(now)
         if (watch.completed.size != ended) passed(Fault.Moment.END)
         ended = watch.completed.size
         if (term() != lastTerm) {
@@ -111,6 +114,16 @@
         lastTerm = term()
     }
 
+    private fun checkJournal(now: Long) {
+        nextJournalCheckAt = now + JOURNAL_CHECK_MS
+        val pages =
+            store.range(JOURNAL_PAGES, null, Int.MAX_VALUE).first.map { (key, page) ->
+                JournalPageCodec.read(key.removePrefix(JOURNAL_PAGES).toInt(), page.version, page.value)
+            }
+        val recorded = pages.flatMap { it.starts }.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }
+        watch.checkRecorded(recorded, workers, now)
+    }
+
     /** A copy of an old heartbeat reaches every controller. */
     private fun deliver(report: ByteArray) {
         val after = KEPT_MS[random.nextInt(KEPT_MS.size)]
@@ -290,6 +303,10 @@
         /** Keys of the controllers' own records, read only to know who holds the leader lease. */
         private const val LEAD = "lead"
 
+        /** The prefix of the keys of the placement journal's pages. */
+        private const val JOURNAL_PAGES = "l/"
+        private const val JOURNAL_CHECK_MS = 1_000L
+
         /** Tasks whose image has such a name fail wherever they start. */
         private const val FAILING = "/fails"
         private const val TERM = "term"
--- a/src/main/kotlin/org/honeyjunction/simulation/ClusterChecks.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/ClusterChecks.kt
@@ -8,6 +8,7 @@
 import org.honeyjunction.core.rules.RuleSet
 import org.honeyjunction.core.rules.Test
 import org.honeyjunction.fake.HistoryChecker
+import org.honeyjunction.fake.RecordedPlace
 import org.honeyjunction.fake.ReferenceModel
 
 /** Checks invariants after every step of a [SimulatedCluster]; violations are added to [HistoryChecker.broken]. */
@@ -15,6 +16,9 @@
     private val history = context.history
     private var workConservation: WorkConservationChecker? = null
 
+    /** The number of page writes when the journal was last compared with the tasks on the machines. */
+    private var checkedPageWrites = 0
+
     init {
         history.onStart = ::checkPlacementRules
     }
@@ -42,6 +46,7 @@
         val everySecond = context.now % 1_000 == 0L
         if (everySecond) controller?.let { checkBookkeeping(it.leader.state) }
         history.check(context.workers.values, context.now)
+        if (everySecond || context.state.pageWrites != checkedPageWrites) checkJournal()
         if (controller == null || !controller.alive) return
         if (everySecond) {
             workConservation?.check(controller.leader.state.active.values, context.workers.values, context.now)
@@ -50,6 +55,13 @@
         if (controller.reachable) checkStalledJobs(controller.leader)
     }
 
+    private fun checkJournal() {
+        checkedPageWrites = context.state.pageWrites
+        val starts = context.state.pages.values.flatMap { (page, _) -> page.starts }
+        val recorded = starts.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }
+        history.checkRecorded(recorded, context.workers.values, context.now)
+    }
+
     private fun checkStarvation(leader: Leader) {
         leader.starvedGroups(context.now).forEach { (group, counts) ->
             val started = "only ${counts.started} of ${counts.accepted} jobs were started although machines were free"
--- a/src/main/kotlin/org/honeyjunction/simulation/FakeStateService.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/FakeStateService.kt
@@ -34,6 +34,10 @@
     /** The pages of the placement journal, each with the id of the write that produced it. */
     val pages = LinkedHashMap<Int, Pair<JournalPageRecord, Long>>()
 
+    /** Number of writes of pages so far. */
+    var pageWrites = 0
+        private set
+
     /** Stores [job] as active and returns it with its version. */
     fun submit(job: StoredJob): StoredJob = job.copy(version = ++revision).also { jobs[job.spec.id] = it }
 
@@ -54,7 +58,10 @@
 
     private fun apply(change: Change) {
         when (change) {
-            is Change.JournalPage -> pages[change.record.page] = change.record.copy(version = revision) to change.writeId
+            is Change.JournalPage -> {
+                pages[change.record.page] = change.record.copy(version = revision) to change.writeId
+                pageWrites++
+            }
             is Change.MachineCheckpoints -> machineCheckpoints[change.page] = change.machines
             is Change.Checkpoint -> leaderCheckpoint = change.checkpoint
             is Change.JobFinished -> {
--- a/src/test/kotlin/org/honeyjunction/app/HistoryCheckerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/HistoryCheckerTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.launch
 import org.honeyjunction.core.control.messages.Command
 import org.honeyjunction.core.control.messages.TaskState
+import org.honeyjunction.core.control.messages.TerminationReason
 import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.Priority
@@ -15,6 +16,7 @@
 import org.honeyjunction.fake.HistoryChecker
 import org.honeyjunction.fake.MachineSpec
 import org.honeyjunction.fake.PlannedJob
+import org.honeyjunction.fake.RecordedPlace
 import org.honeyjunction.fake.Work
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.simulation.VirtualEventLoop
@@ -236,7 +238,12 @@
                 )
             }
         }
-        if (kind == "3") (1..2).forEach { first.tasks["j-000001/$it"] = FakeWorker.Task(Work(spec, 2.0), it, 1, TaskState.Running, 0) }
+        if (kind == "3") {
+            for (number in 1..2) {
+                val attempt = FakeWorker.Attempt("j-000001/$number", 1)
+                first.tasks[attempt] = FakeWorker.Task(Work(spec, 2.0), number, 1, TaskState.Running, 0)
+            }
+        }
         if (kind in "012" && rule == "ran_twice") {
             start(other, 0)
         } else if (kind in "012") {
@@ -290,6 +297,43 @@
         assertEquals(true, watch.broken.last().endsWith("starts") || "starts" in watch.broken.toString(), "${watch.broken}")
     }
 
+    @Test
+    fun `a task on a machine that no page of the journal names`() {
+        val workers = listOf("m1", "m2").map { machine(it, "a", "g", false, spec(2)) }
+        workers.forEach { start(it, 0) }
+        val recorded = setOf(RecordedPlace("j-000001/0", "m1"), RecordedPlace("j-000001/1", "m2"))
+        watch.checkRecorded(recorded, workers.take(1), 20)
+        assertEquals(emptyList<String>(), rules())
+        watch.checkRecorded(recorded, workers, 20)
+        assertEquals(listOf("20 unrecorded: j-000001/0 in attempt 1 on m2"), watch.broken)
+        watch.checkRecorded(recorded, workers, 2_000_000)
+        assertEquals(1, watch.broken.size, "the lease of the worker has expired, and its tasks are gone")
+    }
+
+    /** The searches rely on workers that list several attempts of one task, as the protocol allows, in more than one order. */
+    @Test
+    fun `a worker lists all attempts of a task until it is told to forget them`() {
+        val worker = machine("m1", "a", "g", false, spec())
+
+        fun command(command: Command) = worker.command(1, 1, listOf(command), 0)
+
+        fun listed() = worker.report().tasks.map { it.attempt to it.state::class }
+        for (attempt in 1L..2L) {
+            command(Command.Start("j-000001/0", attempt))
+            command(Command.Stop("j-000001/0", attempt, 0.0))
+        }
+        command(Command.Start("j-000001/0", 3))
+        command(Command.Start("j-000001/0", 4))
+        val busy = TaskState.Ended(TerminationReason.BUSY, false)
+        assertEquals(busy, worker.report().tasks.single { it.attempt == 4L }.state)
+        val orders = List(50) { listed() }
+        val ended = TaskState.Ended::class
+        assertEquals(setOf(1L to ended, 2L to ended, 3L to TaskState.Fetching::class, 4L to ended), orders.flatten().toSet())
+        assertEquals(setOf(true, false), orders.mapTo(HashSet()) { it.first().first == 3L }, "drawn orders")
+        listOf(1L, 2L, 4L).forEach { command(Command.Forget("j-000001/0", it)) }
+        assertEquals(listOf(3L), listed().map { it.first })
+    }
+
     /** A job waits beside a machine; only where nothing forbids it to start is that held against the service. */
     @ParameterizedTest
     @CsvSource("1, 1, ARRAY, waits", "1, 5, ARRAY, ''", "1, 9, ARRAY, ''", "4, 1, GANG, waits", "5, 1, GANG, ''", "4, 2, ARRAY, waits")
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/DelayedHeartbeatsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/DelayedHeartbeatsTest.kt
@@ -36,7 +36,7 @@
  */
 class DelayedHeartbeatsTest {
     /** The state on the worker of the task that the former leader started; its journal names only the second attempt. */
-    enum class Case { RUNNING, STARTED_LATE, ENDED, CANCELLED, NEXT_SESSION, NEXT_SESSION_STARTED_LATE }
+    enum class Case { RUNNING, STILL_LISTED, STARTED_LATE, ENDED, CANCELLED, NEXT_SESSION, NEXT_SESSION_STARTED_LATE }
 
     private enum class Action { OLDEST, OLD, LATEST_COPY, REPORT, REPORT_UNANSWERED, COMMAND, COMMAND_UNANSWERED, START_ARRIVES, LEASE }
 
@@ -89,7 +89,7 @@
             delayed += worker.report()
             command(Command.Stop(TASK, FIRST, 0.0))
             delayed += worker.report()
-            command(Command.Forget(TASK, FIRST))
+            if (case != Case.STILL_LISTED) command(Command.Forget(TASK, FIRST))
             delayed += worker.report()
             if (case.name.startsWith("NEXT_SESSION")) {
                 now += setup.workerLeaseMs + 100
@@ -101,7 +101,7 @@
                 command(Command.Start(TASK, SECOND))
             }
             worker.advance(++now)
-            if (case == Case.ENDED) worker.end(worker.tasks.getValue(TASK), TerminationReason.DONE, now)
+            if (case == Case.ENDED) worker.end(worker.liveAttempt(TASK)!!, TerminationReason.DONE, now)
             check()
             val page = JournalPageRecord(0, 9, listOf(RecordedStart("j-1", 0, SECOND, "vm-1")), emptyMap())
             val checkpoints =
--- /dev/null
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
@@ -0,0 +1,163 @@
+package org.honeyjunction.core.control.machines
+
+import org.honeyjunction.core.control.journal.JournalPageRecord
+import org.honeyjunction.core.control.journal.RecordedStart
+import org.honeyjunction.core.control.leader.Leader
+import org.honeyjunction.core.control.leader.RecoveredState
+import org.honeyjunction.core.control.leader.StoredJob
+import org.honeyjunction.core.control.leader.Tuning
+import org.honeyjunction.core.control.messages.Change
+import org.honeyjunction.core.control.messages.Command
+import org.honeyjunction.core.control.messages.CommitOutcome
+import org.honeyjunction.core.control.messages.Effect
+import org.honeyjunction.core.control.messages.Heartbeat
+import org.honeyjunction.core.control.messages.MachineCheckpoint
+import org.honeyjunction.core.control.messages.ReportedTask
+import org.honeyjunction.core.control.messages.TaskState
+import org.honeyjunction.core.control.messages.TerminationReason
+import org.honeyjunction.core.model.JobKind
+import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Phase
+import org.honeyjunction.core.model.Priority
+import org.honeyjunction.core.model.Resources
+import org.honeyjunction.simulation.ClusterSetup
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertSame
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/**
+ * Reports that list several attempts of one task, in any order. Guards against a leader that keeps one entry for each task: it took a
+ * live attempt that an ended one followed in the report for gone, and the next leader started the task on a second machine.
+ */
+class SeveralAttemptsTest {
+    private val page = JournalPageRecord(0, 9, listOf(RecordedStart(JOB, 0, RECORDED, "vm-1")), emptyMap())
+    private val stored = HashMap<Int, JournalPageRecord>().apply { put(0, page) }
+    private var version = 100L
+    private var now = 0L
+    private var sequence = 0L
+    private var sent = ArrayList<Pair<String, Command>>()
+
+    private fun spec(tasks: Int) =
+        JobSpec(
+            JOB,
+            "c",
+            "a",
+            JobKind.ARRAY,
+            Priority.NORMAL,
+            tasks,
+            Resources(1.0, 1.0, 1.0),
+            "i",
+            0.0,
+            null,
+            null,
+            false,
+            false,
+            false,
+            10.0,
+            0.0,
+            0.0,
+            null,
+        )
+
+    /** A leader of [term] that reads the [stored] pages. */
+    private fun leader(term: Long, tasks: Int = 1): Leader {
+        val machines = listOf("vm-1", "vm-2").map { MachineCheckpoint(it, "10.1.0.1:1", "t4", "x", false, 1, emptyMap()) }
+        val jobs = listOf(StoredJob(spec(tasks), "n", 0, 9, JobStage.ACTIVE))
+        val recovered = RecoveredState(jobs, stored.values.toList(), machines)
+        return Leader(ClusterSetup().cluster(), Tuning(), term, "n", recovered, now, now, 4_000)
+            .also { it.leaderLeaseRenewed(Long.MAX_VALUE / 2, now) }
+    }
+
+    /** [machine] reports [attempts] of the task, in this order: numbers of live ones, and negative numbers of ended ones. */
+    private fun Leader.report(machine: String, vararg attempts: Long, cause: TerminationReason = TerminationReason.STOPPED) {
+        val ended = TaskState.Ended(cause, false)
+        val listed = attempts.map { if (it > 0) ReportedTask(JOB, 0, it, TaskState.Running) else ReportedTask(JOB, 0, -it, ended) }
+        now += 10
+        answerHeartbeat(Heartbeat(machine, "10.1.0.1:1", "t4", "x", false, 1, ++sequence, state.termToken, null, listed), now)
+        settle()
+    }
+
+    /** Carries out what the leader wants: all writes are applied, and no command is answered. */
+    private fun Leader.settle() {
+        while (true) {
+            val effects = drainEffects()
+            if (effects.isEmpty()) return
+            effects.filterIsInstance<Effect.Commit>().forEach { commit ->
+                version++
+                commit.changes.filterIsInstance<Change.JournalPage>().forEach { stored[it.record.page] = it.record.copy(version = version) }
+                committed(commit.id, CommitOutcome.Applied(version), now)
+            }
+            effects.filterIsInstance<Effect.Send>().forEach { send ->
+                sent += send.commands.map { send.machine to it }
+                commandUnanswered(send.id, now)
+            }
+        }
+    }
+
+    private fun Leader.pass(ms: Long) {
+        val end = now + ms
+        while (now < end) {
+            now += 100
+            tick(now)
+            settle()
+        }
+    }
+
+    private val Leader.task get() = state.job(JOB)!!.tasks[0]
+
+    private fun starts() = sent.filter { it.second is Command.Start && it.second.task == TASK }.map { it.first }
+
+    private fun recordedOn() = stored.values.flatMap { it.starts }.filter { it.number == 0 }.map { it.machine to it.attempt }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "'live attempt first',              '7 -5'",
+        "'ended attempt first',             '-5 7'",
+        "'two ended attempts after it',     '7 -5 -6'",
+        "'between two ended attempts',      '-6 7 -5'",
+        "'two ended attempts before it',    '-6 -5 7'",
+        "'a refused start after it',        '7 -8'",
+    )
+    fun `a live attempt stays placed and recorded, wherever its report lists ended attempts of the task`(name: String, attempts: String) {
+        val listed = attempts.split(' ').map { it.toLong() }.toLongArray()
+        for (causes in listOf(TerminationReason.STOPPED, TerminationReason.ERROR, TerminationReason.BUSY)) {
+            val leader = leader(term = 3)
+            leader.report("vm-1", *listed, cause = causes)
+            val placement = leader.task.placements.single()
+            leader.report("vm-1", *listed, cause = causes)
+            assertSame(placement, leader.task.placements.single(), "$name: the placement is the recovered one")
+            assertEquals(listOf(RECORDED, Phase.RUNNING, false), listOf(placement.attempt, placement.phase, placement.stopping), name)
+        }
+    }
+
+    /** The page is written again for another start, so that it would lose an entry that the leader takes for gone. */
+    @Test
+    fun `the leaders that follow do not start a task whose machine listed an ended attempt after the live one`() {
+        val second = leader(term = 3, tasks = 3)
+        second.report("vm-2")
+        second.report("vm-1", 7, -5)
+        second.report("vm-1", 7)
+        second.pass(2_000)
+        assertTrue(stored.values.flatMap { it.starts }.any { it.number > 0 }, "the page was written again")
+        assertEquals(listOf("vm-1" to RECORDED), recordedOn())
+        for (term in 4L..5L) {
+            val next = leader(term, tasks = 3)
+            next.report("vm-2")
+            next.pass(3_000)
+            assertEquals(listOf("vm-1" to RECORDED), recordedOn(), "term $term")
+        }
+        assertEquals(emptyList<String>(), starts())
+    }
+
+    private companion object {
+        const val JOB = "j-1"
+        const val TASK = "j-1/0"
+
+        /** The attempt that the page of an earlier leader names. */
+        const val RECORDED = 7L
+    }
+}
--- a/src/test/kotlin/org/honeyjunction/simulation/TeamLimitFaultsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/simulation/TeamLimitFaultsTest.kt
@@ -178,7 +178,7 @@
                 val recordedStarts = cluster.state.pages.values.flatMap { it.first.starts }.filter { it.job in cluster.state.jobs }
                 val unsent =
                     recordedStarts.filter { start ->
-                        cluster.workers.values.none { worker -> "${start.job}/${start.number}" in worker.tasks } &&
+                        cluster.workers.values.none { worker -> worker.tasks.keys.any { it.task == "${start.job}/${start.number}" } } &&
                             "${start.job}/${start.number}" !in cluster.history.starts
                     }
                 if (unsent.isEmpty()) continue
