A task that runs unrecorded is recorded once its machine reports it

A leader of an earlier version still drops such records while it runs beside this one, and a page may name an attempt that was refused or never sent.

Where a page names the same task on the same machine in another attempt, its entry is exchanged, so that at no moment no page names the task. It goes ahead of the starts that wait for their record, and a log event, unrecorded-task, tells operators.

--- a/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
@@ -34,7 +34,7 @@
 class PlacementJournal(private val state: ClusterState) {
     private val pages = ArrayList<JournalPage>()
 
-    /** Reservations that are not in any page yet. */
+    /** Reservations, and placements that workers reported, that are not in any page yet. */
     private val startsDue = LinkedHashSet<Placement>()
 
     /** Windows of results by job, then by the first task number of the window. */
@@ -74,6 +74,21 @@
         startsDue += start
     }
 
+    /**
+     * Adds [placement], which its worker reported and which no page names in this attempt. A page that names the task on the same machine
+     * in another attempt goes on doing so until it is next written, and then names this one: a new leader learns from either that the
+     * task may be on the machine.
+     */
+    fun adopt(placement: Placement) {
+        for (page in pages) {
+            val recorded = page.starts.find { it.task === placement.task && it.machine === placement.machine } ?: continue
+            page.starts -= recorded
+            page.starts += placement
+            return
+        }
+        startsDue += placement
+    }
+
     /** Adds a result, which must be recorded before its attempt is reaped. */
     fun add(result: Task) {
         val window = windowOf(result)
@@ -88,7 +103,7 @@
 
     /** Writes one page, if entries are due or a page names many jobs that have ended, and if the write rate allows it. */
     fun flush(now: Long) {
-        startsDue.removeIf { it.removed || it.phase != Phase.RESERVED }
+        startsDue.removeIf { it.removed }
         resultsDue.removeIf { it.job.terminalRecord.state != TerminalRecord.State.OPEN }
         val entriesDue = startsDue.isNotEmpty() || resultsDue.isNotEmpty()
         if (!entriesDue && now < nextCompactionAt) return
@@ -172,11 +187,14 @@
     /** The bytes that [window] adds to [page]; a window that the page already has is counted in the page's size. */
     private fun addedBytes(window: ResultWindow, page: JournalPage) = if (window in page.results) 0 else window.bytes
 
-    /** Takes those of the due starts that fit into [bytes], by priority: after a mass failure hundreds of starts may be due. */
+    /**
+     * Takes those of the due starts that fit into [bytes]: first the attempts that run already, then by priority, since after a mass
+     * failure hundreds of starts may be due.
+     */
     private fun takeStarts(bytes: Int): List<Placement> {
         val size = StartsSize()
         val taken =
-            startsDue.sortedByDescending { it.task.job.spec.priority }.takeWhile { start ->
+            startsDue.sortedWith(RUNNING_THEN_PRIORITY).takeWhile { start ->
                 size.add(start)
                 bytes >= size.bytes
             }
@@ -203,6 +221,9 @@
     }
 
     private companion object {
+        val RUNNING_THEN_PRIORITY =
+            compareByDescending<Placement> { it.phase.reported }.thenByDescending { it.task.job.spec.priority }
+
         /** Pages that are being written at the same time, at most. */
         const val MAX_BUSY_PAGES = 3
 
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderComponents.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderComponents.kt
@@ -35,7 +35,7 @@
     val fairness = FairnessMonitor(startWithinMs(cluster))
     val lifecycle = JobLifecycle(state, journal, failures, fairness)
     val bootTimes = BootTimes()
-    val heartbeats = HeartbeatProcessor(state, lifecycle, bootTimes)
+    val heartbeats = HeartbeatProcessor(state, lifecycle, journal, bootTimes)
     val zones = ZoneHealthMonitor(state, startedAt)
     val queue = PendingQueue(state)
 
--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -4,8 +4,10 @@
 import org.honeyjunction.core.control.jobs.JobLifecycle
 import org.honeyjunction.core.control.jobs.evict
 import org.honeyjunction.core.control.jobs.requestStop
+import org.honeyjunction.core.control.journal.PlacementJournal
 import org.honeyjunction.core.control.leader.ClusterState
 import org.honeyjunction.core.control.messages.AttemptId
+import org.honeyjunction.core.control.messages.Effect
 import org.honeyjunction.core.control.messages.Heartbeat
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
@@ -23,7 +25,12 @@
  * Reconciles the leader's state with the status that workers report. Besides confirmed releases and expired leases, worker reports
  * are the only evidence of which tasks run on a machine.
  */
-class HeartbeatProcessor(private val state: ClusterState, private val lifecycle: JobLifecycle, private val bootTimes: BootTimes) {
+class HeartbeatProcessor(
+    private val state: ClusterState,
+    private val lifecycle: JobLifecycle,
+    private val journal: PlacementJournal,
+    private val bootTimes: BootTimes,
+) {
     /**
      * Applies the status [report] to the leader's state. [isHeartbeat] is true if the worker sent the report periodically, and false
      * if the report answers a command. Returns false if the report is older than the known state or comes from a released machine.
@@ -99,11 +106,10 @@
     }
 
     private fun reconcileActive(machine: Machine, task: Task, reported: ReportedTask, phase: Phase, now: Long) {
-        val job = task.job
         val known = machine.placements[reported.task]
         if (known != null && known.attempt == reported.attempt) {
             known.enter(phase, now)
-            if (phase == Phase.RUNNING) job.started = true
+            if (phase == Phase.RUNNING) task.job.started = true
             machine.idleSince = Long.MIN_VALUE
             // The image of a reported task is cached on the machine, even if an earlier leader's checkpoint does not list it.
             recordImage(machine, task)
@@ -112,9 +118,20 @@
         // An attempt that an earlier leader recorded, or that this leader sent, may still start. A report of a different attempt,
         // which may be an older one, does not rule that out.
         if (known?.phase?.outcomeUnknown == true) return
+        adopt(machine, task, reported.attempt, phase, now)
+    }
+
+    /**
+     * Places an attempt that a worker reports and that this leader's records do not name: the report is a delayed one, or an earlier
+     * leader took the attempt for gone. It is recorded, and stopped if it is useless or if the task is on another machine too.
+     */
+    private fun adopt(machine: Machine, task: Task, attempt: Long, phase: Phase, now: Long) {
+        val job = task.job
         val elsewhere = task.placements.any { it.machine !== machine }
-        // The reported attempt replaces a placement whose start command this leader has not sent yet.
-        val placement = state.place(task, machine, reported.attempt, phase, now)
+        // Replaces a placement on this machine whose start command this leader has not sent yet.
+        val placement = state.place(task, machine, attempt, phase, now)
+        journal.adopt(placement)
+        state.effects += Effect.LogEvent("unrecorded-task", "${machine.name} reports ${task.id} in attempt $attempt, which is not recorded")
         if (job.mustStop || task.done || elsewhere) placement.requestStop(0.0)
     }
 
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
@@ -77,10 +77,13 @@
         val ended = TaskState.Ended(cause, false)
         val listed = attempts.map { if (it > 0) ReportedTask(JOB, 0, it, TaskState.Running) else ReportedTask(JOB, 0, -it, ended) }
         now += 10
-        answerHeartbeat(Heartbeat(machine, "10.1.0.1:1", "t4", "x", false, 1, ++sequence, state.termToken, null, listed), now)
+        answerHeartbeat(report(this, machine, listed), now)
         settle()
     }
 
+    private fun report(leader: Leader, machine: String, tasks: List<ReportedTask>) =
+        Heartbeat(machine, "10.1.0.1:1", "t4", "x", false, 1, ++sequence, leader.state.termToken, null, tasks)
+
     /** Carries out what the leader wants: all writes are applied, and no command is answered. */
     private fun Leader.settle() {
         while (true) {
@@ -153,6 +156,57 @@
         assertEquals(emptyList<String>(), starts())
     }
 
+    /**
+     * Guards against a running task that stays out of the journal for good. A leader of the version before may have dropped its record,
+     * so that the next leader learns of it from a report alone.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+        "'no page names the task',                             '',    7",
+        "'a page names a later attempt that was refused',      '8',   '7 -8'",
+        "'the refused attempt is listed first',                '8',   '-8 7'",
+        "'a page names a later attempt that was never sent',   '8',   7",
+        "'a page names an earlier attempt',                    '5',   '7 -5'",
+        "'pages name both attempts',                           '7 8', '7 -8'",
+    )
+    fun `a task that is found running in another attempt than recorded is recorded anew`(name: String, pages: String, attempts: String) {
+        stored.clear()
+        pages.split(' ').filter { it.isNotEmpty() }.forEachIndexed { number, attempt ->
+            stored[number] = JournalPageRecord(number, 9, listOf(RecordedStart(JOB, 0, attempt.toLong(), "vm-1")), emptyMap())
+        }
+        val listed = attempts.split(' ').map { it.toLong() }.toLongArray()
+        // Three tasks: the starts of the two others make the leader write its pages again.
+        val finder = leader(term = 3, tasks = 3)
+        finder.report("vm-1", *listed, cause = TerminationReason.BUSY)
+        assertEquals(listOf(RECORDED to false), finder.task.placements.map { it.attempt to it.stopping }, name)
+        finder.report("vm-2")
+        finder.pass(3_000)
+        assertTrue(stored.values.flatMap { it.starts }.any { it.number > 0 }, "$name: pages were written again")
+        assertTrue(recordedOn().any { it.first == "vm-1" }, "$name: ${recordedOn()}")
+        for (term in 4L..5L) {
+            val next = leader(term, tasks = 3)
+            next.report("vm-2")
+            next.pass(3_000)
+        }
+        assertEquals(emptyList<String>(), starts(), name)
+    }
+
+    /** The record of an attempt that a live one replaces goes only with the write that names the live one. */
+    @Test
+    fun `at no moment is a task unrecorded while one attempt takes the place of another`() {
+        stored[0] = JournalPageRecord(0, 9, listOf(RecordedStart(JOB, 0, 8, "vm-1")), emptyMap())
+        val finder = leader(term = 3, tasks = 3)
+        finder.report("vm-2")
+        assertEquals(listOf("vm-1" to 8L), recordedOn())
+        finder.answerHeartbeat(report(finder, "vm-1", listOf(ReportedTask(JOB, 0, 7, TaskState.Running))), ++now)
+        while (recordedOn() != listOf("vm-1" to 7L)) {
+            assertEquals(listOf("vm-1" to 8L), recordedOn())
+            finder.settle()
+            finder.tick(++now)
+            assertTrue(now < 10_000, "the page is written again with a start of another task")
+        }
+    }
+
     private companion object {
         const val JOB = "j-1"
         const val TASK = "j-1/0"
