A start that was not sent yet is withdrawn when the task is found running

A task whose record was lost waits at a new leader, which reserves it on a second machine. While that start is being written, the first machine reports the task.

Cause: the running attempt was told to stop, because the task was known elsewhere, and the start was sent all the same.

In addition a start is sent only if its task has no other placement.

--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -190,7 +190,8 @@
 
     private fun isReady(placement: Placement): Boolean {
         val job = placement.task.job
-        if (!job.startable) return false
+        // The task may have been found on another machine since the start was reserved.
+        if (!job.startable || placement.task.placements.size > 1) return false
         // The tasks of a gang are sent together, once all of them are recorded.
         return job.spec.kind != JobKind.GANG || job.placements.all { it.phase >= Phase.RECORDED }
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -14,6 +14,7 @@
 import org.honeyjunction.core.control.messages.TerminationReason
 import org.honeyjunction.core.lease.WorkerLease
 import org.honeyjunction.core.lease.WorkerLease.Finding
+import org.honeyjunction.core.model.JobKind
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Machine
 import org.honeyjunction.core.model.MachinePhase
@@ -123,11 +124,14 @@
 
     /**
      * Places an attempt that a worker reports and that this leader's records do not name: the report is a delayed one, or an earlier
-     * leader took the attempt for gone. It is recorded, and stopped if it is useless or if the task is on another machine too.
+     * leader took the attempt for gone. It is recorded, and stopped if it is useless or if the task may be on another machine too. A start
+     * elsewhere that was not sent yet is withdrawn instead, for a gang with those of all its tasks.
      */
     private fun adopt(machine: Machine, task: Task, attempt: Long, phase: Phase, now: Long) {
         val job = task.job
-        val elsewhere = task.placements.any { it.machine !== machine }
+        val related = if (job.spec.kind == JobKind.GANG) job.placements else task.placements
+        related.filter { it.phase <= Phase.RECORDED }.forEach { it.requestStop(0.0) }
+        val elsewhere = task.placements.any { it.machine !== machine && it.phase > Phase.RECORDED }
         // Replaces a placement on this machine whose start command this leader has not sent yet.
         val placement = state.place(task, machine, attempt, phase, now)
         journal.adopt(placement)
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
@@ -41,12 +41,12 @@
     private var sequence = 0L
     private var sent = ArrayList<Pair<String, Command>>()
 
-    private fun spec(tasks: Int) =
+    private fun spec(tasks: Int, kind: JobKind) =
         JobSpec(
             JOB,
             "c",
             "a",
-            JobKind.ARRAY,
+            kind,
             Priority.NORMAL,
             tasks,
             Resources(1.0, 1.0, 1.0),
@@ -64,9 +64,9 @@
         )
 
     /** A leader of [term] that reads the [stored] pages. */
-    private fun leader(term: Long, tasks: Int = 1): Leader {
+    private fun leader(term: Long, tasks: Int = 1, kind: JobKind = JobKind.ARRAY): Leader {
         val machines = listOf("vm-1", "vm-2").map { MachineCheckpoint(it, "10.1.0.1:1", "t4", "x", false, 1, emptyMap()) }
-        val jobs = listOf(StoredJob(spec(tasks), "n", 0, 9, JobStage.ACTIVE))
+        val jobs = listOf(StoredJob(spec(tasks, kind), "n", 0, 9, JobStage.ACTIVE))
         val recovered = RecoveredState(jobs, stored.values.toList(), machines)
         return Leader(ClusterSetup().cluster(), Tuning(), term, "n", recovered, now, now, 4_000)
             .also { it.leaderLeaseRenewed(Long.MAX_VALUE / 2, now) }
@@ -207,6 +207,55 @@
         }
     }
 
+    /**
+     * Guards against a start that is sent although the task has been found on another machine meanwhile. The start waits for its record,
+     * which is applied after the report.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource("the report comes before the write is applied, false", "the report comes after the write was applied, true")
+    fun `a start that was not sent yet is withdrawn when the task is found on another machine`(name: String, recorded: Boolean) {
+        stored.clear()
+        val leader = leader(term = 3)
+        leader.answerHeartbeat(report(leader, "vm-2", emptyList()), ++now)
+        var write: Effect.Commit? = null
+        while (write == null) {
+            now += 50
+            leader.tick(now)
+            write = leader.drainEffects().filterIsInstance<Effect.Commit>().find { it.changes.single() is Change.JournalPage }
+        }
+        assertEquals(listOf("vm-2" to Phase.RESERVED), leader.task.placements.map { it.machine.name to it.phase })
+        val running = report(leader, "vm-1", listOf(ReportedTask(JOB, 0, RECORDED, TaskState.Running)))
+        if (recorded) {
+            leader.state.committed(write.id, CommitOutcome.Applied(++version))
+            leader.answerHeartbeat(running, ++now)
+        } else {
+            leader.answerHeartbeat(running, ++now)
+            leader.committed(write.id, CommitOutcome.Applied(++version), now)
+        }
+        leader.settle()
+        leader.pass(3_000)
+        assertEquals(emptyList<String>(), starts(), name)
+        assertEquals(listOf("vm-1" to false), leader.task.placements.map { it.machine.name to it.stopping }, "$name: the running one stays")
+    }
+
+    @Test
+    fun `the starts of a gang are withdrawn as a whole when one of its tasks is found running`() {
+        stored.clear()
+        val leader = leader(term = 3, tasks = 3, kind = JobKind.GANG)
+        leader.answerHeartbeat(report(leader, "vm-2", emptyList()), ++now)
+        val gang = leader.state.job(JOB)!!
+        while (gang.placements.isEmpty()) {
+            now += 50
+            leader.tick(now)
+        }
+        assertEquals(listOf("vm-2", "vm-2", "vm-2"), gang.placements.map { it.machine.name })
+        leader.answerHeartbeat(report(leader, "vm-1", listOf(ReportedTask(JOB, 2, RECORDED, TaskState.Running))), ++now)
+        leader.settle()
+        leader.pass(500)
+        assertEquals(emptyList<Pair<String, Command>>(), sent.filter { it.second is Command.Start })
+        assertEquals(listOf("vm-1" to true), gang.placements.map { it.machine.name to it.stopping })
+    }
+
     private companion object {
         const val JOB = "j-1"
         const val TASK = "j-1/0"
