One builder of jobs for the tests of the leader's core

Cause: five tests spelled out the same twenty arguments of a job. Change: testJob names only what matters to a test. No test does anything else than before.

--- a/src/test/kotlin/org/honeyjunction/core/control/jobs/JobTerminationModel.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/jobs/JobTerminationModel.kt
@@ -16,11 +16,8 @@
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
 import org.honeyjunction.core.control.messages.TerminationReason
-import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.control.testJob
 import org.honeyjunction.core.model.JobStage
-import org.honeyjunction.core.model.Priority
-import org.honeyjunction.core.model.Resources
 import org.honeyjunction.simulation.ClusterSetup
 
 /**
@@ -36,27 +33,7 @@
     comparesVersions: Boolean = true,
     comparesTerm: Boolean = true,
 ) {
-    private val spec =
-        JobSpec(
-            "j-1",
-            "c",
-            "a",
-            JobKind.ARRAY,
-            Priority.NORMAL,
-            tasks,
-            Resources(1.0, 1.0, 1.0),
-            "i",
-            5.0,
-            null,
-            null,
-            false,
-            false,
-            false,
-            10.0,
-            0.0,
-            0.0,
-            null,
-        )
+    private val spec = testJob(tasks = tasks, imageGb = 5.0)
 
     /** A write of the leader [writer] that the state service has not answered. */
     private class PendingWrite(val writer: ModelLeader, val commit: Effect.Commit) {
--- a/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
@@ -6,12 +6,10 @@
 import org.honeyjunction.core.control.messages.Change
 import org.honeyjunction.core.control.messages.CommitOutcome
 import org.honeyjunction.core.control.messages.Effect
-import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.control.testJob
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Phase
 import org.honeyjunction.core.model.Placement
-import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.results.TaskNumberSet
 import org.honeyjunction.simulation.ClusterSetup
@@ -27,27 +25,7 @@
     private val state = ClusterState(ClusterSetup().cluster(), Tuning(), 3)
     private val journal = PlacementJournal(state)
     private var now = 0L
-    private val spec =
-        JobSpec(
-            "j-000001",
-            "c",
-            "a",
-            JobKind.ARRAY,
-            Priority.NORMAL,
-            200,
-            Resources(1.0, 1.0, 1.0),
-            "i",
-            5.0,
-            null,
-            null,
-            false,
-            false,
-            false,
-            10.0,
-            0.0,
-            0.0,
-            null,
-        )
+    private val spec = testJob("j-000001", tasks = 200, imageGb = 5.0)
     private val job = state.addJob(StoredJob(spec, "n", 0, 9, JobStage.ACTIVE), 0, 0)
 
     private fun reserve(count: Int): List<Placement> =
--- a/src/test/kotlin/org/honeyjunction/core/control/leader/LeaderRecoveryTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/leader/LeaderRecoveryTest.kt
@@ -11,13 +11,10 @@
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
 import org.honeyjunction.core.control.messages.TerminationReason
+import org.honeyjunction.core.control.testJob
 import org.honeyjunction.core.lease.RenewalBound
-import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Phase
-import org.honeyjunction.core.model.Priority
-import org.honeyjunction.core.model.Resources
 import org.honeyjunction.core.placement.Proposal
 import org.honeyjunction.simulation.ClusterSetup
 import org.honeyjunction.wire.CheckpointCodec
@@ -34,27 +31,7 @@
 class LeaderRecoveryTest {
     private val term = 3L
     private val token = term shl 24
-    private val spec =
-        JobSpec(
-            "j-1",
-            "c",
-            "a",
-            JobKind.ARRAY,
-            Priority.NORMAL,
-            2,
-            Resources(1.0, 1.0, 1.0),
-            "i",
-            5.0,
-            null,
-            null,
-            false,
-            false,
-            false,
-            10.0,
-            0.0,
-            0.0,
-            null,
-        )
+    private val spec = testJob(tasks = 2, imageGb = 5.0)
     private val machineCheckpoint = MachineCheckpoint("vm-1", "10.1.0.1:1", "t4", "x", false, 1, mapOf("i" to 5.0))
     private val page =
         JournalPageRecord(
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/DelayedHeartbeatsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/DelayedHeartbeatsTest.kt
@@ -12,10 +12,8 @@
 import org.honeyjunction.core.control.messages.Heartbeat
 import org.honeyjunction.core.control.messages.MachineCheckpoint
 import org.honeyjunction.core.control.messages.TerminationReason
-import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
+import org.honeyjunction.core.control.testJob
 import org.honeyjunction.core.model.JobStage
-import org.honeyjunction.core.model.Priority
 import org.honeyjunction.core.model.Resources
 import org.honeyjunction.fake.FakeWorker
 import org.honeyjunction.fake.HistoryChecker
@@ -42,30 +40,8 @@
 
     private val setup = ClusterSetup(limits = mapOf("a" to 1.0), guarantee = 1.0)
 
-    private fun job(id: String) =
-        JobSpec(
-            id,
-            "c",
-            "a",
-            JobKind.ARRAY,
-            Priority.NORMAL,
-            1,
-            Resources(1.0, 1.0, 1.0),
-            "i",
-            0.0,
-            null,
-            null,
-            false,
-            false,
-            false,
-            10.0,
-            0.0,
-            0.0,
-            null,
-        )
-
     private inner class Run(private val case: Case) {
-        private val jobs = listOf(job("j-1"), job("j-2"))
+        private val jobs = listOf(testJob("j-1"), testJob("j-2"))
         private var now = 0L
         private val checker = HistoryChecker(setup.limits.mapValues { Resources(0.0, it.value, 0.0) }, setup.cancelMs)
         private val timing = FakeWorker.Timing(setup.workerLeaseMs, 30_000, 5_000)
@@ -261,7 +237,7 @@
      */
     @Test
     fun `nothing is started on a machine that has not acknowledged this term`() {
-        val recovered = RecoveredState(listOf(StoredJob(job("j-1"), "n", 0, 9, JobStage.ACTIVE)), emptyList(), emptyList())
+        val recovered = RecoveredState(listOf(StoredJob(testJob("j-1"), "n", 0, 9, JobStage.ACTIVE)), emptyList(), emptyList())
         val leader = Leader(setup.cluster(), Tuning(), TERM, "n", recovered, 0, 0, 4_000)
         leader.leaderLeaseRenewed(Long.MAX_VALUE / 2, 0)
 
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/SeveralAttemptsTest.kt
@@ -15,12 +15,10 @@
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
 import org.honeyjunction.core.control.messages.TerminationReason
+import org.honeyjunction.core.control.testJob
 import org.honeyjunction.core.model.JobKind
-import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.core.model.Phase
-import org.honeyjunction.core.model.Priority
-import org.honeyjunction.core.model.Resources
 import org.honeyjunction.simulation.ClusterSetup
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertSame
@@ -41,32 +39,10 @@
     private var sequence = 0L
     private var sent = ArrayList<Pair<String, Command>>()
 
-    private fun spec(tasks: Int, kind: JobKind) =
-        JobSpec(
-            JOB,
-            "c",
-            "a",
-            kind,
-            Priority.NORMAL,
-            tasks,
-            Resources(1.0, 1.0, 1.0),
-            "i",
-            0.0,
-            null,
-            null,
-            false,
-            false,
-            false,
-            10.0,
-            0.0,
-            0.0,
-            null,
-        )
-
     /** A leader of [term] that reads the [stored] pages. */
     private fun leader(term: Long, tasks: Int = 1, kind: JobKind = JobKind.ARRAY): Leader {
         val machines = listOf("vm-1", "vm-2").map { MachineCheckpoint(it, "10.1.0.1:1", "t4", "x", false, 1, emptyMap()) }
-        val jobs = listOf(StoredJob(spec(tasks, kind), "n", 0, 9, JobStage.ACTIVE))
+        val jobs = listOf(StoredJob(testJob(JOB, kind, tasks), "n", 0, 9, JobStage.ACTIVE))
         val recovered = RecoveredState(jobs, stored.values.toList(), machines)
         return Leader(ClusterSetup().cluster(), Tuning(), term, "n", recovered, now, now, 4_000)
             .also { it.leaderLeaseRenewed(Long.MAX_VALUE / 2, now) }
