A gang that is found running task by task goes on

Cause: withdrawing the reservations stopped the attempt that was found too, as it does where a part of a gang can't be sent.

Change: starts that were not sent are removed at once, for a gang all of them; only a gang that was sent in part is still stopped as a whole.

--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -125,18 +125,30 @@
     /**
      * Places an attempt that a worker reports and that this leader's records do not name: the report is a delayed one, or an earlier
      * leader took the attempt for gone. It is recorded, and stopped if it is useless or if the task may be on another machine too. A start
-     * elsewhere that was not sent yet is withdrawn instead, for a gang with those of all its tasks.
+     * elsewhere that was not sent yet is withdrawn instead.
      */
     private fun adopt(machine: Machine, task: Task, attempt: Long, phase: Phase, now: Long) {
-        val job = task.job
-        val related = if (job.spec.kind == JobKind.GANG) job.placements else task.placements
-        related.filter { it.phase <= Phase.RECORDED }.forEach { it.requestStop(0.0) }
+        withdrawUnsentStarts(task, now)
         val elsewhere = task.placements.any { it.machine !== machine && it.phase > Phase.RECORDED }
-        // Replaces a placement on this machine whose start command this leader has not sent yet.
         val placement = state.place(task, machine, attempt, phase, now)
         journal.adopt(placement)
         state.effects += Effect.LogEvent("unrecorded-task", "${machine.name} reports ${task.id} in attempt $attempt, which is not recorded")
-        if (job.mustStop || task.done || elsewhere) placement.requestStop(0.0)
+        if (task.job.mustStop || task.done || elsewhere) placement.requestStop(0.0)
+    }
+
+    /**
+     * Withdraws the starts of [task] that were not sent, for a gang those of all its tasks, since the others can't replace the attempt that
+     * runs. A gang that was sent in part is stopped as a whole.
+     */
+    private fun withdrawUnsentStarts(task: Task, now: Long) {
+        val gang = task.job.spec.kind == JobKind.GANG
+        val placements = if (gang) task.job.placements.toList() else task.placements.toList()
+        val unsent = placements.filter { it.phase <= Phase.RECORDED }
+        if (gang && unsent.size < placements.size) {
+            unsent.forEach { it.requestStop(0.0) }
+        } else {
+            unsent.forEach { state.remove(it, now) }
+        }
     }
 
     private fun reconcileEnded(machine: Machine, task: Task, attempt: Long, end: TaskState.Ended, now: Long) {
