A partition is over when no unresponsive machine is left

What callers would see: a job waits for good, because nothing is rented in a zone that counts as cut off for ever.

Cause: a partition ended only when machines reported again, or when the zone had no machine left. Where all unresponsive machines were released and one had reported all the time, neither could happen any more. The zone is then avoided for new machines, also for a gang bound to the zone of a free one.

Change: a partition is also over when no machine is unresponsive.

--- a/src/main/kotlin/org/honeyjunction/core/control/machines/ZoneHealthMonitor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/ZoneHealthMonitor.kt
@@ -103,11 +103,11 @@
         zone.mostUnresponsive = maxOf(zone.mostUnresponsive, unresponsive)
         zone.fewestResponsive = minOf(zone.fewestResponsive, present - unresponsive)
         // Once a tenth of the unresponsive machines report again, the others follow within a heartbeat period. Machines that were
-        // declared dead during the partition do not count as recovered.
+        // declared dead during the partition do not count as recovered; if no unresponsive one is left, there is none to wait for.
         val recovered = present - unresponsive - zone.fewestResponsive
         if (present == 0) {
             enter(index, ZoneHealth.HEALTHY, now)
-        } else if (recovered * RECOVERY_DIVISOR >= zone.mostUnresponsive) {
+        } else if (unresponsive == 0 || recovered * RECOVERY_DIVISOR >= zone.mostUnresponsive) {
             enter(index, ZoneHealth.RECOVERING, now)
         }
     }
