After a leader of an earlier version, starts wait for the machines that may run the task

Cause: a new leader takes a task that no page names for one that is nowhere. Earlier versions drop the starts of some running tasks, and this one learned of the task only when the machine reported.

Change: pages say that they are complete. Earlier versions ignore the field and don't write it. After a page without it, jobs of earlier terms are held back while one of their tasks may run on a machine that has not reported under this term (by type, zone and kind), until it has reported, is gone, or no lease that a former leader renewed can be valid. Only then are pages called complete, and those that are not are written again.

--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/MachineEligibility.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/MachineEligibility.kt
@@ -13,11 +13,14 @@
 // rules and free capacity are checked elsewhere.
 
 /** Whether [machine] is of a type, in a zone and of a kind (spot or not) that [job] allows, given where its other tasks are now. */
-fun ClusterState.isEligible(job: Job, task: Task, machine: Machine): Boolean {
+fun ClusterState.isEligible(job: Job, task: Task, machine: Machine): Boolean =
+    isPermitted(job, machine) && openZones(job, task) shr machine.zone and 1L != 0L
+
+/** Whether [machine] is known to be of a type, in a zone and of a kind that [job] allows, wherever its other tasks are. */
+fun ClusterState.isPermitted(job: Job, machine: Machine): Boolean {
     val type = cluster.types[machine.type] ?: return false
     if (machine.zone == NameTable.ABSENT || machine.spot && !job.spec.spot || !job.spec.mayUse(type)) return false
-    val zones = openZones(job, task) and cluster.zonesFor(job.spec, type)
-    return zones shr machine.zone and 1L != 0L
+    return cluster.zonesFor(job.spec, type) shr machine.zone and 1L != 0L
 }
 
 /** The zones, as a bit mask, that the job's other tasks leave open for [task] (null: for any new one) at this moment. */
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/PendingQueue.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/PendingQueue.kt
@@ -61,7 +61,7 @@
     fun teams(): List<TeamShare> =
         state.cluster.teams.mapIndexed { index, team -> TeamShare(weight(team.guarantee), state.placementCount(index)) }
 
-    private fun Job.isPending(now: Long) = !waiting.isEmpty && startable && notBefore <= now
+    private fun Job.isPending(now: Long) = !waiting.isEmpty && startable && !heldBack && notBefore <= now
 
     /** Failing jobs last; then by priority, guarantee, whether the deadline can still be met, and age. */
     private fun startOrder(now: Long): Comparator<Job> =
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/PendingReasonReport.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/PendingReasonReport.kt
@@ -23,6 +23,7 @@
     private fun addJobReasons(job: Job, now: Long, reasons: MutableList<String>) {
         val gang = job.spec.kind == JobKind.GANG
         if (!job.startable) reasons += "the job is being closed"
+        if (job.heldBack) reasons += "it may run already, on a machine that has not reported since the leader changed"
         retryReason(job, now)?.let { reasons += it }
         if (gang && job.placements.isNotEmpty()) reasons += "tasks of an earlier attempt are not known to be gone"
         val team = state.cluster.teams[job.team]
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -34,7 +34,7 @@
         explainer?.beginBatch()
         for ((jobIndex, members) in proposals.indices.groupBy { proposals[it].job }) {
             val job = state.jobAt(jobIndex) ?: continue
-            if (!job.startable || job.notBefore > now) continue
+            if (!job.startable || job.heldBack || job.notBefore > now) continue
             if (job.spec.kind == JobKind.GANG && !isWholeGang(job, members.map { proposals[it].task })) continue
             acceptOfJob(job, members, proposals, accepted, now)
         }
--- a/src/main/kotlin/org/honeyjunction/core/control/journal/JournalPages.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/JournalPages.kt
@@ -43,6 +43,9 @@
     /** The identifiers of the jobs whose starts the stored page names, needed or not; a new leader reads the records of all of them. */
     var storedJobs = emptySet<String>()
 
+    /** Whether the page is stored as [JournalPageRecord.complete]. */
+    var complete = true
+
     /** Whether a write of this page is on its way. */
     var busy = false
 
--- a/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/journal/PlacementJournal.kt
@@ -12,8 +12,18 @@
 import org.honeyjunction.core.results.TaskNumberSet
 import java.util.BitSet
 
-/** A page of the journal as stored in the state service; [done] has the numbers of finished tasks by job. */
-data class JournalPageRecord(val page: Int, val version: Long, val starts: List<RecordedStart>, val done: Map<String, BitSet>)
+/**
+ * A page of the journal as stored in the state service; [done] has the numbers of finished tasks by job. [complete] is false if a task that
+ * no page names may have been on a machine when the page was written: earlier versions, whose pages lack this field, dropped the starts of
+ * some running tasks.
+ */
+data class JournalPageRecord(
+    val page: Int,
+    val version: Long,
+    val starts: List<RecordedStart>,
+    val done: Map<String, BitSet>,
+    val complete: Boolean = true,
+)
 
 /** Task [number] of [job] may have been started on [machine]; [attempt] distinguishes the starts of one task. */
 data class RecordedStart(val job: String, val number: Int, val attempt: Long, val machine: String)
@@ -42,18 +52,23 @@
 
     /** The windows with results that are not in any page yet. */
     private val resultsDue = LinkedHashSet<ResultWindow>()
+
+    /** Whether the journal names every task that may be on a machine; see [JournalPageRecord.complete]. */
+    var complete = true
+
     private var nextWriteAt = Long.MIN_VALUE
     private var nextCompactionAt = Long.MIN_VALUE
     private val pageCapacity get() = state.cluster.pageBytes
 
     /**
-     * Takes over a page of an earlier term, which names starts of [storedJobs]; [placements] and [done] are those of its entries
+     * Takes over the page [stored] of an earlier term, which names starts of [storedJobs]; [placements] and [done] are those of its entries
      * that are still needed.
      */
-    fun restore(number: Int, version: Long, placements: List<Placement>, done: List<Task>, storedJobs: Set<String> = emptySet()) {
-        while (pages.size <= number) pages += JournalPage(pages.size, 0)
-        val page = pages[number]
-        page.version = version
+    fun restore(stored: JournalPageRecord, placements: List<Placement>, done: List<Task>, storedJobs: Set<String>) {
+        while (pages.size <= stored.page) pages += JournalPage(pages.size, 0)
+        val page = pages[stored.page]
+        page.version = stored.version
+        page.complete = stored.complete
         page.storedJobs = storedJobs
         page.starts += placements
         for (task in done) {
@@ -116,13 +131,13 @@
     }
 
     /**
-     * The page that names the most ended jobs, if it is worth a write. If [entriesDue], the page must have room for new entries;
-     * otherwise nothing else may be on its way.
+     * The page that names the most ended jobs, if it is worth a write, or one that is stored as incomplete although the journal no longer
+     * is. If [entriesDue], the page must have room for new entries; otherwise nothing else may be on its way.
      */
     private fun outdatedPage(entriesDue: Boolean, now: Long): JournalPage? {
         nextCompactionAt = now + COMPACTION_INTERVAL_MS
         if (now >= state.leaseValidUntil || !entriesDue && pages.any { it.busy }) return null
-        val outdated = pages.filter { !it.busy && endedJobs(it) >= MIN_ENDED_JOBS }
+        val outdated = pages.filter { !it.busy && (endedJobs(it) >= MIN_ENDED_JOBS || complete && !it.complete) }
         return outdated.filter { !entriesDue || it.compact() <= pageCapacity / 2 }.maxByOrNull(::endedJobs)
     }
 
@@ -145,13 +160,15 @@
         val newResults = takeResults(page, if (startsDue.isEmpty()) room else room / 2)
         val newStarts = takeStarts(room - newResults.sumOf { addedBytes(it, page) })
         val written = (page.results + newResults).associateWith { it.finished.clone() as BitSet }
-        val record = JournalPageRecord(page.number, page.version, (page.starts + newStarts).map(::recorded), numbersByJob(written))
+        val starts = (page.starts + newStarts).map(::recorded)
+        val record = JournalPageRecord(page.number, page.version, starts, numbersByJob(written), complete)
         page.busy = true
         state.commit(listOf(Change.JournalPage(record, state.nextSequence()))) { outcome ->
             page.busy = false
             when (outcome) {
                 is CommitOutcome.Applied -> {
                     page.version = outcome.version
+                    page.complete = record.complete
                     page.storedJobs = record.starts.mapTo(HashSet()) { it.job }
                     page.starts += newStarts
                     newStarts.forEach { if (!it.removed && it.phase == Phase.RESERVED) it.enter(Phase.RECORDED, state.now) }
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderRecovery.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderRecovery.kt
@@ -52,8 +52,9 @@
         results.forEach { (page, done) ->
             // A start of a job whose record can't be read stays in its page for as long as the page need not be written.
             val knownJobs = page.starts.mapNotNullTo(HashSet()) { start -> start.job.takeIf { state.job(it) != null } }
-            components.journal.restore(page.page, page.version, page.starts.mapNotNull(::recoverStart), done, knownJobs)
+            components.journal.restore(page, page.starts.mapNotNull(::recoverStart), done, knownJobs)
         }
+        if (!pages.all { it.complete }) components.unrecordedTasks.begin(now)
     }
 
     private fun tasks(job: String, numbers: BitSet): List<Task> =
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/PeriodicWork.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/PeriodicWork.kt
@@ -36,6 +36,7 @@
     fun tick(now: Long) {
         if (state.leaseGuard.state == LeaseGuard.State.RESUMED_EXPIRED) return components.dispatcher.sendDue(state.machines, now)
         checkMachines(now)
+        components.unrecordedTasks.step(now)
         if (now >= nextRoundAt) runPlacementRound(now)
         if (now >= nextPlanAt) planCapacity(now)
         if (now >= nextPreemptionAt) runPreemptionRound(now)
--- a/src/main/kotlin/org/honeyjunction/core/model/Job.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Job.kt
@@ -109,6 +109,9 @@
     /** No task of the job is started before this time, in monotonic milliseconds. */
     var notBefore = 0L
 
+    /** Whether a pending task of the job may run already, unrecorded and on a machine that has not reported. No task is started then. */
+    var heldBack = false
+
     /** Whether a task of the job is known to have run. */
     var started = false
 
--- a/src/main/kotlin/org/honeyjunction/wire/JournalPageCodec.kt
+++ b/src/main/kotlin/org/honeyjunction/wire/JournalPageCodec.kt
@@ -10,12 +10,13 @@
 /**
  * Encodes the pages of the placement journal. A page holds its recorded starts in one flat array, four items each (job, task numbers,
  * attempt, machine), and the numbers of its finished tasks, keyed by job. Sets of task numbers are encoded as text, see
- * [TaskNumberSet].
+ * [TaskNumberSet]. Pages of earlier versions do not say that they are complete, and those versions ignore the field.
  */
 object JournalPageCodec {
     private const val WRITE = "write"
     private const val STARTS = "starts"
     private const val DONE = "done"
+    private const val COMPLETE = "complete"
     private const val FIELDS_PER_START = 4
     private const val MAX_QUOTED_LENGTH = 40
 
@@ -31,6 +32,7 @@
             }
             val done = putObject(DONE)
             page.done.forEach { (job, numbers) -> done.put(job, TaskNumberSet.text(numbers)) }
+            if (page.complete) put(COMPLETE, true)
         }
 
     /**
@@ -44,6 +46,7 @@
             version,
             value.list(STARTS).chunked(FIELDS_PER_START).flatMap { readStarts(it, number) },
             value.fieldOrNull(DONE)?.properties().orEmpty().associate { (job, numbers) -> job to readNumbers(numbers, number) },
+            value.fieldOrNull(COMPLETE)?.booleanValue() == true,
         )
 
     /** The number that [write] gave to the write that stored [value]; null if there is none. */
--- a/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/journal/PlacementJournalTest.kt
@@ -87,7 +87,7 @@
     @Test
     fun `a start of an earlier term stays recorded until it is gone`() {
         val recovered = state.place(job.tasks[50], state.addMachine("vm-old", 0), 77, Phase.UNCONFIRMED, 0)
-        journal.restore(0, 8, listOf(recovered), listOf(job.tasks[60]))
+        journal.restore(JournalPageRecord(0, 8, emptyList(), emptyMap()), listOf(recovered), listOf(job.tasks[60]), emptySet())
         reserve(1)
         val (id, page) = flushedPages().single()
         assertEquals(listOf(50, 0), page.startedTasks())
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartExplorationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartExplorationTest.kt
@@ -12,13 +12,18 @@
  * leaders. Guards against a leader that loses the record of a running attempt, so that a later one starts the task a second time.
  */
 class RestartExplorationTest {
-    /** The job whose tasks are restarted; reports list live attempts before ended ones, after them, or in a drawn order. */
-    enum class Case(val kind: JobKind, val tasks: Int, val order: Order) {
+    /**
+     * The job whose tasks are restarted; reports list live attempts before ended ones, after them, or in a drawn order. With
+     * [earlierVersions], some leaders are of a version that drops records of running tasks.
+     */
+    enum class Case(val kind: JobKind, val tasks: Int, val order: Order, val earlierVersions: Boolean = false) {
         ARRAY_LIVE_FIRST(JobKind.ARRAY, 1, Order.LIVE_FIRST),
         ARRAY_ENDED_FIRST(JobKind.ARRAY, 1, Order.ENDED_FIRST),
         ARRAY_DRAWN(JobKind.ARRAY, 3, Order.DRAWN),
         SERVICE_DRAWN(JobKind.SERVICE, 2, Order.DRAWN),
         GANG_DRAWN(JobKind.GANG, 2, Order.DRAWN),
+        ARRAY_AFTER_EARLIER_VERSIONS(JobKind.ARRAY, 3, Order.DRAWN, earlierVersions = true),
+        GANG_AFTER_EARLIER_VERSIONS(JobKind.GANG, 2, Order.DRAWN, earlierVersions = true),
     }
 
     enum class Order { LIVE_FIRST, ENDED_FIRST, DRAWN }
@@ -39,6 +44,7 @@
         TASK_FAILS,
         NEXT_LEADER,
         LEADER_ISOLATED,
+        LEADER_OF_EARLIER_VERSION,
         REPORT_TO_FORMER_LEADER,
         LEASE,
     }
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
@@ -189,6 +189,7 @@
 
     private fun check() {
         checker.check(workers, now)
+        if (case.earlierVersions) return
         val starts = store.pages.values.flatMap { (page, _) -> page.starts }
         checker.checkRecorded(starts.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }, workers, now)
     }
@@ -209,6 +210,7 @@
             Action.TASK_FAILS -> machine.tasks.values.filter { it.state == TaskState.Running }.forEach(::fail)
             Action.NEXT_LEADER -> leader = elect()
             Action.LEADER_ISOLATED -> isolateLeader()
+            Action.LEADER_OF_EARLIER_VERSION -> if (case.earlierVersions) leadByEarlierVersion()
             Action.REPORT_TO_FORMER_LEADER -> former?.let(::reportToFormer)
             Action.LEASE -> pass(setup.workerLeaseMs + STEP_MS)
         }
@@ -228,6 +230,15 @@
         leader = elect()
     }
 
+    /** A leader of an earlier version leads for a moment: it writes the pages without the starts of some tasks that run. */
+    private fun leadByEarlierVersion() {
+        for ((number, stored) in store.pages.toMap()) {
+            val (record, write) = stored
+            store.pages[number] = record.copy(starts = record.starts.filter { random.nextBoolean() }, complete = false) to write
+        }
+        leader = elect()
+    }
+
     private fun reportToFormer(former: Leader) {
         val report = ordered(machine.report())
         val answer = former.answerHeartbeat(report, now)
