A worker that may forget an attempt first rejects the starts sent before

Cause: a right that does not lapse. A worker executes a start again once it has been told to forget the attempt, and its message stays valid for as long as the fencing token and the session match. The leader raised a machine's token after a start without an answer, and took a start with an answer for one that can't be executed any more. So a copy of the message that came after the forgetting started the task again, whoever led and whether or not anybody did.

Evidence: records of the incident. Start executed and answered at 30.31 (token, attempt), stop at 30.92, forgotten at 31.32 under the same token, the copy executed at 37.58.

Change: the heartbeat response that lets a worker forget attempts carries a higher token if a start was sent with the present one. Every way to forget an attempt passes through that response, so it holds for stopped, refused, failed, done and lost attempts. A worker learns the token before it executes the commands, and rejects the copy with 409 from then on; before, it still lists the attempt, and the copy has no effect. An attempt is forgotten one heartbeat later if a message with the present token is on its way, which would be rejected, and if the heartbeat is not the latest one: so no start in flight is lost and no gang loses its attempt. The token is raised before commands that follow from the same heartbeat are sent, so that these carry the same token as the response.

The simulated network can deliver copies of executed messages, and reports any that starts something; the walks over restarts draw them.

--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -160,6 +160,7 @@
         if (commands.isEmpty() && !unfenced) return
         val id = state.nextSequence()
         machine.commandInFlight = true
+        if (starts.isNotEmpty()) machine.recordStart()
         for (placement in starts) {
             placement.enter(Phase.SENT, now)
             // The start may be executed until the worker answers it or acknowledges a higher fencing token.
@@ -218,7 +219,7 @@
         val machine = message.machine
         machine.commandFailures++
         machine.nextCommandAt = now + RETRY_MS * minOf(machine.commandFailures, MAX_RETRY_FACTOR)
-        if (message.starts.isNotEmpty()) machine.token++
+        if (message.starts.isNotEmpty()) machine.voidSentStarts()
     }
 
     private fun takeMessage(id: Long): Message? {
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
@@ -8,6 +8,7 @@
 import org.honeyjunction.core.control.messages.TerminationReason
 import org.honeyjunction.core.lease.WorkerLease
 import org.honeyjunction.core.model.JobStage
+import org.honeyjunction.core.model.Machine
 
 /**
  * Answers workers' heartbeats. The leader processes the contents of every heartbeat. An answer renews the worker's lease, so the
@@ -20,7 +21,7 @@
     /** Processes [heartbeat]. Returns null if this node has no right to answer it. */
     fun answer(heartbeat: Heartbeat, now: Long): HeartbeatResponse? {
         if (observesLaterTerm(heartbeat.token)) return null
-        components.heartbeats.process(heartbeat, now, isHeartbeat = true)
+        val latest = components.heartbeats.process(heartbeat, now, isHeartbeat = true)
         renewals.timePassed(now)
         if (!renewals.allowed) {
             components.flush(now)
@@ -28,8 +29,21 @@
         }
         val machine = state.addMachine(heartbeat.machine, now)
         machine.lease.on(WorkerLease.Event.HeartbeatAnswered(heartbeat.session, now))
+        val commands = commandsFor(machine, heartbeat, latest)
+        // Voided before the flush, so that the messages of the flush carry the same token as the response.
+        if (commands.any { it is Command.Forget }) machine.voidSentStarts()
         components.flush(now)
-        return HeartbeatResponse(machine.token, heartbeat.tasks.mapNotNull(::commandFor).take(MAX_COMMANDS))
+        return HeartbeatResponse(machine.token, commands)
+    }
+
+    /**
+     * The commands about the tasks that [machine] reports in [heartbeat]. A worker executes a start again once it has forgotten the attempt,
+     * so the response that lets it forget also voids the starts that were sent. The worker forgets nothing before its next heartbeat if a
+     * message is on its way, which would be rejected, or if this heartbeat is not the [latest], since nobody may wait for its response.
+     */
+    private fun commandsFor(machine: Machine, heartbeat: Heartbeat, latest: Boolean): List<Command> {
+        val mayForgetNow = latest && !(machine.commandInFlight && machine.startsValid)
+        return heartbeat.tasks.mapNotNull { commandFor(it, mayForgetNow) }.take(MAX_COMMANDS)
     }
 
     /** Processes the status that a worker sent as the answer to a command. */
@@ -49,9 +63,10 @@
      * The command about [reported] that the answer carries: to forget an ended attempt, or to stop a useless one. So both work even
      * if no separate command reaches the worker. All commands are idempotent.
      */
-    private fun commandFor(reported: ReportedTask): Command? =
+    private fun commandFor(reported: ReportedTask, mayForgetNow: Boolean): Command? =
         when {
-            reported.state is TaskState.Ended -> Command.Forget(reported.task, reported.attempt).takeIf { mayForget(reported) }
+            reported.state is TaskState.Ended ->
+                Command.Forget(reported.task, reported.attempt).takeIf { mayForgetNow && mayForget(reported) }
             state.job(reported.job)?.mustStop == true -> Command.Stop(reported.task, reported.attempt, 0.0)
             else -> null
         }
--- a/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
+++ b/src/main/kotlin/org/honeyjunction/core/model/Machine.kt
@@ -65,6 +65,22 @@
     /** The fencing token that commands to this machine carry. */
     var token = 0L
 
+    /** The highest fencing token with which a start was sent to the machine in this term; -1 if none was. */
+    private var startToken = -1L
+
+    /** Whether the worker would execute a copy of a start that was sent to it in this term, once it has forgotten the attempt. */
+    val startsValid get() = startToken >= token
+
+    /** Notes that a start is sent with the present [token]. */
+    fun recordStart() {
+        startToken = token
+    }
+
+    /** Raises [token] if a start was sent with it: a worker that has seen the new one rejects every start that was sent before. */
+    fun voidSentStarts() {
+        if (startsValid) token = startToken + 1
+    }
+
     /** When the latest message of the worker was received, be it a heartbeat or the answer to a command. */
     var lastContactAt = Long.MIN_VALUE / 2
 
--- a/src/main/kotlin/org/honeyjunction/simulation/NetworkFaults.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/NetworkFaults.kt
@@ -1,6 +1,7 @@
 package org.honeyjunction.simulation
 
 import org.honeyjunction.core.control.messages.Change
+import org.honeyjunction.core.control.messages.Effect
 import org.honeyjunction.core.control.messages.Heartbeat
 import org.honeyjunction.fake.FakeWorker
 import java.util.Random
@@ -25,6 +26,9 @@
     /** Delay of a heartbeat, in milliseconds; null for the usual latency. */
     var heartbeatDelayMs: (Heartbeat) -> Long? = { null }
 
+    /** After how long a copy of a message arrives that the worker has executed and answered, in milliseconds; null: none does. */
+    var commandCopyDelayMs: (Effect.Send) -> Long? = { null }
+
     /** Maximum additional latency of a message between controllers and workers, in milliseconds. */
     var maxExtraLatencyMs = 0
 
--- a/src/main/kotlin/org/honeyjunction/simulation/SimulatedCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/SimulatedCluster.kt
@@ -45,6 +45,9 @@
     /** How often the first heartbeat that a leader got from a machine was a stale copy. */
     val staleFirstHeartbeats get() = workerNetwork.staleFirstHeartbeats
 
+    /** Number of copies of executed messages that arrived at workers. */
+    val commandCopies get() = workerNetwork.commandCopies
+
     /** Runs [action] after [delayMs] of virtual time. */
     fun after(delayMs: Long, action: () -> Unit) = context.after(delayMs, action)
 
--- a/src/main/kotlin/org/honeyjunction/simulation/WorkerNetwork.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/WorkerNetwork.kt
@@ -19,6 +19,10 @@
     var staleFirstHeartbeats = 0
         private set
 
+    /** The number of copies of executed messages that arrived. */
+    var commandCopies = 0
+        private set
+
     /** Delivers the recorded copies of old heartbeats to the new leader [controller], among its first heartbeats. */
     fun replayRecordedHeartbeats(controller: SimulatedController) {
         recorded.forEach { heartbeat ->
@@ -137,6 +141,7 @@
         val executed = worker.command(effect.token, effect.session, effect.commands, context.now)
         val heartbeat = worker.report()
         if (!answered) return
+        if (executed) faults.commandCopyDelayMs(effect)?.let { delay -> context.after(delay) { receiveCopy(effect) } }
         context.after(context.latency() + faults.extraLatency(context.random)) {
             controller.run {
                 if (executed) commandExecuted(effect.id, heartbeat, context.now) else commandRejected(effect.id, heartbeat, context.now)
@@ -144,6 +149,17 @@
         }
     }
 
+    /** A copy of a message that was executed and answered. Nobody waits for its answer, and it must not start anything. */
+    private fun receiveCopy(effect: Effect.Send) {
+        val worker = context.workers[effect.machine]?.takeIf { !it.silent(context.now) } ?: return
+        worker.advance(context.now)
+        val known = worker.tasks.keys.toSet()
+        commandCopies++
+        worker.command(effect.token, effect.session, effect.commands, context.now)
+        val started = worker.tasks.keys - known
+        if (started.isNotEmpty()) context.history.note(context.now, "copy_started: $started on ${worker.name}")
+    }
+
     private companion object {
         /** Time within which a new leader has received a heartbeat from every machine that can reach it. */
         const val REPLAY_WITHIN_MS = 3_000
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartExplorationTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartExplorationTest.kt
@@ -38,6 +38,7 @@
         COMMAND_UNANSWERED,
         COMMAND_HELD_UP,
         HELD_UP_COMMAND_ARRIVES,
+        COPY_OF_EXECUTED_COMMAND,
         OTHER_JOB,
         WRITE_UNANSWERED,
         WRITE_LATE,
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
@@ -27,6 +27,7 @@
 import org.honeyjunction.simulation.ClusterSetup
 import org.honeyjunction.simulation.FakeStateService
 import java.util.Random
+import kotlin.random.asKotlinRandom
 
 /**
  * A cluster of two machines in which the tasks of one job are stopped and started again on the first one, which reports seldom, while
@@ -55,6 +56,9 @@
     private var isolated = false
     private var pending: Effect.Send? = null
     private val heldUp = ArrayList<Effect.Send>()
+
+    /** Messages that the first machine has executed. */
+    private val executedMessages = ArrayList<Effect.Send>()
     private val reports = ArrayList<Heartbeat>()
     private var unansweredWrites = 0
     private var lateWrites = 0
@@ -168,6 +172,7 @@
 
     private fun send(message: Effect.Send, to: FakeWorker, answered: Boolean) {
         val executed = to.command(message.token, message.session, message.commands, now)
+        if (executed && to === machine) executedMessages += message
         to.advance(now)
         val report = ordered(to.report())
         when {
@@ -204,6 +209,7 @@
             Action.COMMAND_UNANSWERED -> deliver(answered = false)
             Action.COMMAND_HELD_UP -> holdUp()
             Action.HELD_UP_COMMAND_ARRIVES -> heldUp.removeFirstOrNull()?.let(::arrive)
+            Action.COPY_OF_EXECUTED_COMMAND -> executedMessages.randomOrNull(random.asKotlinRandom())?.let(::arriveAgain)
             Action.OTHER_JOB -> leader.jobObserved(store.submit(storedJob("j-${works.size + 1}", JobKind.ARRAY, 1)), now, now)
             Action.WRITE_UNANSWERED -> unansweredWrites++
             Action.WRITE_LATE -> lateWrites++
@@ -261,6 +267,14 @@
         leader.commandUnanswered(message.id, now)
     }
 
+    /** A copy of a message that was executed before must not start anything. */
+    private fun arriveAgain(message: Effect.Send) {
+        val known = machine.tasks.keys.toSet()
+        arrive(message)
+        val started = machine.tasks.keys - known
+        if (started.isNotEmpty()) broken += "$now: a copy started $started"
+    }
+
     private fun arrive(message: Effect.Send) {
         machine.command(message.token, message.session, message.commands, now)
     }
