Log starts, forgotten attempts and rejected messages with their fencing tokens

Cause: the logs of the incident could not tell whether the leader repeated the start, a copy of it arrived, or another leader sent it, nor whether the worker rejected starts after it had forgotten the attempt. Change: starts-sent, starts-unanswered, commands-rejected and attempts-forgotten name the machine, the attempts and the token; leader-ready names the term's first token.

--- a/src/main/kotlin/org/honeyjunction/app/Leadership.kt
+++ b/src/main/kotlin/org/honeyjunction/app/Leadership.kt
@@ -88,8 +88,9 @@
         val current = createDriver(term, recovered, terminalRecords)
         startTerm(current, recovered.jobsRevision)
         log.info(
-            "leader-ready: term {}, state recovered in {} ms: {} jobs, {} machines",
+            "leader-ready: term {}, fencing tokens from {}, state recovered in {} ms: {} jobs, {} machines",
             term.number,
+            current.leader.state.termToken,
             clock.steady() - wonAt,
             recovered.state.jobs.size,
             recovered.state.machines.size,
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -168,6 +168,10 @@
         }
         unansweredMessages[id] = Message(machine, starts)
         val session = maxOf(machine.lease.session, FIRST_SESSION)
+        state.messageCounters.sent++
+        if (starts.isNotEmpty()) {
+            state.eventLog.log("starts-sent", now) { "${machine.name}: ${describe(starts)} with token ${machine.token}, session $session" }
+        }
         state.effects += Effect.Send(id, machine.name, address, machine.token, session, commands)
     }
 
@@ -208,6 +212,10 @@
     /** The fencing token or the agent's session did not match: no command of the message was or will be executed. */
     fun rejected(id: Long, report: Heartbeat, now: Long, processReport: (Heartbeat) -> Unit) {
         val message = takeMessage(id) ?: return
+        state.messageCounters.rejected++
+        state.eventLog.log("commands-rejected", now) {
+            "${message.machine.name}, which has seen token ${report.token} and is in session ${report.session}: ${describe(message.starts)}"
+        }
         message.starts.forEach { if (it.phase == Phase.SENT) state.remove(it, now) }
         message.machine.nextCommandAt = now + RETRY_MS
         processReport(report)
@@ -219,7 +227,10 @@
         val machine = message.machine
         machine.commandFailures++
         machine.nextCommandAt = now + RETRY_MS * minOf(machine.commandFailures, MAX_RETRY_FACTOR)
-        if (message.starts.isNotEmpty()) machine.voidSentStarts()
+        state.messageCounters.unanswered++
+        if (message.starts.isEmpty()) return
+        state.voidSentStarts(machine)
+        state.eventLog.log("starts-unanswered", now) { "${machine.name}: ${describe(message.starts)}; void from token ${machine.token}" }
     }
 
     private fun takeMessage(id: Long): Message? {
@@ -229,7 +240,15 @@
         return message
     }
 
+    private fun describe(starts: List<Placement>): String {
+        val named = starts.take(MAX_NAMED).joinToString { "${it.task.id} in attempt ${it.attempt}" }
+        return "${starts.size} starts [$named${if (starts.size > MAX_NAMED) ", ..." else ""}]"
+    }
+
     private companion object {
+        /** The most starts that one line of the log names. */
+        const val MAX_NAMED = 5
+
         /** A reservation must be recorded within this time, and then sent within this time. */
         const val RESERVATION_MS = 6_000L
         const val STOP_RETRY_MS = 1_500L
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/ClusterState.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/ClusterState.kt
@@ -40,6 +40,10 @@
 
     /** The effects to be executed by the environment, in order; see [Leader.drainEffects]. */
     val effects = ArrayList<Effect>()
+
+    /** Logs what may happen often. */
+    val eventLog = EventLog(effects)
+    val messageCounters = WorkerMessageCounters()
     private val commits = HashMap<Long, (CommitOutcome) -> Unit>()
     private var sequence = 0L
 
@@ -119,6 +123,12 @@
             machineIndex.add(it)
         }
 
+    /** Raises the fencing token of [machine] if a start was sent with it, so that the worker rejects a copy of that start. */
+    fun voidSentStarts(machine: Machine) {
+        if (machine.startsValid) messageCounters.tokensRaised++
+        machine.voidSentStarts()
+    }
+
     /** Removes [machine] and its placements; the cloud has confirmed that the machine is gone. */
     fun removeMachine(machine: Machine, now: Long) {
         machine.placements.values.toList().forEach { remove(it, now) }
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
@@ -31,7 +31,7 @@
         machine.lease.on(WorkerLease.Event.HeartbeatAnswered(heartbeat.session, now))
         val commands = commandsFor(machine, heartbeat, latest)
         // Voided before the flush, so that the messages of the flush carry the same token as the response.
-        if (commands.any { it is Command.Forget }) machine.voidSentStarts()
+        voidForgottenStarts(machine, commands.filterIsInstance<Command.Forget>(), now)
         components.flush(now)
         return HeartbeatResponse(machine.token, commands)
     }
@@ -43,9 +43,23 @@
      */
     private fun commandsFor(machine: Machine, heartbeat: Heartbeat, latest: Boolean): List<Command> {
         val mayForgetNow = latest && !(machine.commandInFlight && machine.startsValid)
+        if (!mayForgetNow) state.messageCounters.keptForNow += heartbeat.tasks.count { it.state is TaskState.Ended }
         return heartbeat.tasks.mapNotNull { commandFor(it, mayForgetNow) }.take(MAX_COMMANDS)
     }
 
+    /** Voids the starts that were sent to [machine], before it may execute one of them again because it has [forgotten] the attempt. */
+    private fun voidForgottenStarts(machine: Machine, forgotten: List<Command.Forget>, now: Long) {
+        if (forgotten.isEmpty()) return
+        val before = machine.token
+        state.voidSentStarts(machine)
+        state.messageCounters.forgotten += forgotten.size
+        state.eventLog.log("attempts-forgotten", now) {
+            val named = forgotten.take(MAX_NAMED).joinToString { "${it.task} in attempt ${it.attempt}" }
+            val rest = if (forgotten.size > MAX_NAMED) ", ..." else ""
+            "${machine.name} may forget ${forgotten.size} [$named$rest] with token ${machine.token}, before $before"
+        }
+    }
+
     /** Processes the status that a worker sent as the answer to a command. */
     fun processCommandAnswer(heartbeat: Heartbeat, now: Long) {
         if (!observesLaterTerm(heartbeat.token)) components.heartbeats.process(heartbeat, now)
@@ -83,5 +97,8 @@
     private companion object {
         /** At about 70 bytes each, they keep an answer's line below its maximum of 64 KiB. The rest follows with the next heartbeat. */
         const val MAX_COMMANDS = 600
+
+        /** The most attempts that one line of the log names. */
+        const val MAX_NAMED = 5
     }
 }
