A reported task of a job that the leader does not know is settled by the job's record

Cause: a check in one path and not in another. The leader ignored each report of a task whose job it did not know: it was not stopped by the response to the heartbeat, by a command, or by the release of a machine that hangs, and its resources were not counted.

If the job has ended, it is added to the state, and its reported tasks are placed, recorded, counted and stopped like any other task of an ended job, at once and not with the next report. A failed read is repeated, and a malformed record is logged and no longer ends the term.

--- a/src/main/kotlin/org/honeyjunction/app/leader/JobRecordReader.kt
+++ b/src/main/kotlin/org/honeyjunction/app/leader/JobRecordReader.kt
@@ -9,10 +9,11 @@
 import org.honeyjunction.core.model.JobStage
 import org.honeyjunction.io.KeyValueClient
 import org.honeyjunction.wire.JobCodec
+import org.honeyjunction.wire.MalformedException
 import org.slf4j.LoggerFactory
 import java.io.IOException
 
-/** Reads the records of jobs whose terminal write has an unknown outcome, and reports them to the leader. */
+/** Reads the records of jobs whose terminal write has an unknown outcome, or that only a worker has named, and reports them to the leader. */
 internal class JobRecordReader(
     private val context: TermContext,
     private val store: KeyValueClient,
@@ -39,16 +40,20 @@
             // The permit is kept during the delay, because the next read would probably fail as well.
             delay(RETRY_MS)
             JobRecord.Unread
+        } catch (e: MalformedException) {
+            log.error("malformed record of job {}: {}", job, e.message)
+            delay(RETRY_MS)
+            JobRecord.Unread
         }
 
     /** A record moves from the key of the active job to that of the terminal record and never back, so the keys are read in this order. */
     private suspend fun lookUp(job: String): JobRecord {
         val active = store.get(Keys.job(job))
         val value = active.value ?: store.get(Keys.terminalRecord(job)).value ?: return JobRecord.Absent
-        val stage = JobCodec.stored(value, active.version).stage
-        if (stage == JobStage.ACTIVE) return JobRecord.Active(active.version)
+        val record = JobCodec.stored(value, active.version)
+        if (record.stage == JobStage.ACTIVE) return JobRecord.Active(active.version)
         if (active.value != null) recordPlacement?.addInPlace(job)
-        return JobRecord.Finished(stage == JobStage.CANCELLED)
+        return JobRecord.Finished(record)
     }
 
     private companion object {
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/Leader.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/Leader.kt
@@ -155,6 +155,7 @@
     /** Handles the result of [Effect.ReadJobRecord]. */
     fun jobRecordRead(job: String, found: JobRecord, now: Long) {
         advanceTo(now)
+        components.heartbeats.jobRecordRead(job, found, now)
         state.job(job)?.let { components.lifecycle.recordRead(it, found, now) }
         components.flush(now)
     }
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderComponents.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderComponents.kt
@@ -12,6 +12,7 @@
 import org.honeyjunction.core.control.journal.PlacementJournal
 import org.honeyjunction.core.control.machines.FailureDetector
 import org.honeyjunction.core.control.machines.HeartbeatProcessor
+import org.honeyjunction.core.control.machines.UnknownJobs
 import org.honeyjunction.core.control.machines.UnrecordedTaskGuard
 import org.honeyjunction.core.control.machines.ZoneHealthMonitor
 import org.honeyjunction.core.control.preemption.PreemptionPlanner
@@ -36,7 +37,8 @@
     val fairness = FairnessMonitor(startWithinMs(cluster))
     val lifecycle = JobLifecycle(state, journal, failures, fairness)
     val bootTimes = BootTimes()
-    val heartbeats = HeartbeatProcessor(state, lifecycle, journal, bootTimes)
+    val unknownJobs = UnknownJobs(state)
+    val heartbeats = HeartbeatProcessor(state, lifecycle, journal, bootTimes, unknownJobs)
     val unrecordedTasks = UnrecordedTaskGuard(state, journal)
     val zones = ZoneHealthMonitor(state, startedAt)
     val queue = PendingQueue(state)
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderDiagnostics.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/LeaderDiagnostics.kt
@@ -20,6 +20,8 @@
             components.journal.statistics(),
             components.workConservation.statistics(state.now),
             components.failures.statistics(state.now),
+            state.messageCounters.statistics(),
+            components.unknownJobs.statistics(),
             "less than half started ${groupsWithFewStarted()}",
         ).joinToString("; ")
 
--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -9,6 +9,7 @@
 import org.honeyjunction.core.control.messages.AttemptId
 import org.honeyjunction.core.control.messages.Effect
 import org.honeyjunction.core.control.messages.Heartbeat
+import org.honeyjunction.core.control.messages.JobRecord
 import org.honeyjunction.core.control.messages.ReportedTask
 import org.honeyjunction.core.control.messages.TaskState
 import org.honeyjunction.core.control.messages.TerminationReason
@@ -31,6 +32,7 @@
     private val lifecycle: JobLifecycle,
     private val journal: PlacementJournal,
     private val bootTimes: BootTimes,
+    private val unknownJobs: UnknownJobs,
 ) {
     /**
      * Applies the status [report] to the leader's state. [isHeartbeat] is true if the worker sent the report periodically, and false
@@ -77,6 +79,7 @@
         }
         val (ended, live) = report.tasks.partition { it.state is TaskState.Ended }
         machine.reportedEndedTasks = ended.size
+        unknownJobs.discardReportsOf(machine)
         ended.forEach { reconcileTask(machine, it, now) }
         live.forEach { reconcileTask(machine, it, now) }
     }
@@ -94,8 +97,21 @@
             Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.SAVING -> true
         }
 
+    /** The record of [job] was read. Handles the reports of its tasks that have waited for it and are still the latest of their machines. */
+    fun jobRecordRead(job: String, found: JobRecord, now: Long) {
+        for (report in unknownJobs.recordRead(job, found, now)) {
+            val lease = report.machine.lease
+            val outdated = lease.session != report.session || lease.state == WorkerLease.State.EXPIRED
+            if (!outdated && report.machine.phase != MachinePhase.GONE) reconcileTask(report.machine, report.task, now)
+        }
+    }
+
     private fun reconcileTask(machine: Machine, reported: ReportedTask, now: Long) {
-        val job = state.job(reported.job) ?: return
+        val job = state.job(reported.job)
+        if (job == null) {
+            if (reported.state !is TaskState.Ended) unknownJobs.reported(machine, reported, now)
+            return
+        }
         val task = job.tasks.getOrNull(reported.number) ?: return
         when (val reportedState = reported.state) {
             is TaskState.Ended -> reconcileEnded(machine, task, reported.attempt, reportedState, now)
--- a/src/main/kotlin/org/honeyjunction/core/control/messages/Change.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/messages/Change.kt
@@ -1,6 +1,8 @@
 package org.honeyjunction.core.control.messages
 
 import org.honeyjunction.core.control.journal.JournalPageRecord
+import org.honeyjunction.core.control.leader.StoredJob
+import org.honeyjunction.core.model.JobStage
 
 /** A change of the stored state. The codecs of the key-value store define its stored form. */
 sealed interface Change {
@@ -31,8 +33,10 @@
     /** The job has not ended; [version] is the revision of its record. */
     data class Active(val version: Long) : JobRecord
 
-    /** The job has ended. Its terminal record stands in place of the active one or among the terminal records. */
-    data class Finished(val cancelled: Boolean) : JobRecord
+    /** The job has ended. Its terminal [record] stands in place of the active one or among the terminal records. */
+    data class Finished(val record: StoredJob) : JobRecord {
+        val cancelled get() = record.stage == JobStage.CANCELLED
+    }
 
     /** There is neither an active nor a terminal record. */
     data object Absent : JobRecord
--- a/src/main/kotlin/org/honeyjunction/core/control/messages/Effect.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/messages/Effect.kt
@@ -26,7 +26,7 @@
     /** Releases [machines]. */
     data class ScaleIn(val machines: List<String>) : Effect
 
-    /** Reads the record of [job], after a write of its terminal state was rejected or not answered. */
+    /** Reads the record of [job]: a write of its terminal state was rejected or not answered, or a worker reports a task of it and it is not known. */
     data class ReadJobRecord(val job: String) : Effect
 
     /** Reports that a user's cancellation is durable; [done]: the job had already completed. */
--- a/src/main/kotlin/org/honeyjunction/simulation/FakeStateService.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/FakeStateService.kt
@@ -82,8 +82,7 @@
     fun record(id: String): JobRecord {
         if (down) return JobRecord.Unread
         jobs[id]?.let { return JobRecord.Active(it.version) }
-        val final = terminalRecords[id] ?: return JobRecord.Absent
-        return JobRecord.Finished(final.stage == JobStage.CANCELLED)
+        return terminalRecords[id]?.let { JobRecord.Finished(it) } ?: JobRecord.Absent
     }
 
     /** The state that a new leader reads; it includes the terminal records only of jobs that a journal page still names. */
--- a/src/test/kotlin/org/honeyjunction/core/control/jobs/JobTerminationModel.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/jobs/JobTerminationModel.kt
@@ -268,7 +268,7 @@
             when {
                 !answers -> JobRecord.Unread
                 service.stage == JobStage.ACTIVE -> JobRecord.Active(service.version)
-                else -> JobRecord.Finished(service.stage == JobStage.CANCELLED)
+                else -> JobRecord.Finished(StoredJob(spec, "n", 0, service.version, service.stage))
             }
         reader.leader.jobRecordRead(spec.id, found, now)
         settle(reader)
