The search delivers copies of commands that were executed and answered

Cause: no network of ours repeated a message to a worker, so that neither the simulation nor the search could find the fault of the incident. Change: the fault "copy commands" (real controllers on loopback and in virtual time, and the core alone): of four in ten messages that a worker has executed and answered a copy arrives from 0.1 s to three leases later. One that starts anything breaks the check copy_started. Half of the drawn scenarios have it, and in half of these the leader or all controllers end and are back within a second; a generator of its own leaves the other faults and the jobs of each seed as they were. Two scenarios are added to those that operators named.

--- a/src/main/kotlin/org/honeyjunction/app/local/LocalFaults.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/LocalFaults.kt
@@ -47,6 +47,7 @@
             Fault.Whom.Answers -> loopback.loseAnswers(fault.forMs)
             Fault.Whom.Reports ->
                 if (fault.what == Fault.What.KEEP) loopback.keepReports(fault.forMs) else loopback.repeatReports(fault.forMs)
+            Fault.Whom.Commands -> loopback.copyCommands(fault.forMs)
             Fault.Whom.Lists -> loopback.lagLists(fault.forMs)
             is Fault.Whom.Jobs -> {
                 users.pressing.press(fault, loopback::running)
--- a/src/main/kotlin/org/honeyjunction/app/local/SimulationSearch.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/SimulationSearch.kt
@@ -16,7 +16,7 @@
         val kind = ShortScenario.Kind.of(seed)
         val faults = drawFaults(random, kind)
         val jobs = ScenarioJobs(random, teams).of(kind)
-        return ShortScenario(seed, kind, jobs, given.ifEmpty { faults })
+        return ShortScenario(seed, kind, jobs, given.ifEmpty { faults + drawCopies(seed) })
     }
 
     private fun drawFaults(random: Random, kind: ShortScenario.Kind): List<Fault> {
@@ -36,6 +36,19 @@
         return faults
     }
 
+    /**
+     * In half of the scenarios copies of executed commands arrive, and in half of these the leader or all controllers end and are back
+     * within a second. A generator of its own leaves the other faults and the jobs of each seed as they are.
+     */
+    private fun drawCopies(seed: Long): List<Fault> {
+        val random = Random(seed * COPY_SEED_FACTOR)
+        if (random.nextBoolean()) return emptyList()
+        val copies = Fault.parse("at ${1 + random.nextInt(8)}s copy commands for ${20 + random.nextInt(40)}s")
+        if (random.nextBoolean()) return listOf(copies)
+        val target = if (random.nextBoolean()) "leader" else "all"
+        return listOf(copies, Fault.parse("at ${8 + random.nextInt(20)}s kill $target for 0.${2 + random.nextInt(7)}s"))
+    }
+
     private fun drawMoment(random: Random): String {
         if (random.nextInt(MOMENT_ONE_IN) != 0) return ""
         val moment = Fault.Moment.entries[random.nextInt(Fault.Moment.entries.size)]
@@ -62,6 +75,7 @@
 
     private companion object {
         const val MOMENT_ONE_IN = 4
+        const val COPY_SEED_FACTOR = 7_919L
         val GAPS_MS = listOf(0, 300, 1_000, 2_500, 5_000, 6_500, 9_000, 15_000)
     }
 }
--- a/src/main/kotlin/org/honeyjunction/app/local/VirtualCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/app/local/VirtualCluster.kt
@@ -76,6 +76,7 @@
     private fun coverage(cluster: LocalCluster) =
         mapOf(
             "answers lost" to cluster.loopback.unanswered,
+            "copies of commands" to cluster.loopback.commandCopies,
             "kept reports delivered" to cluster.loopback.keptDelivered,
             "close questions" to cluster.users.pressing.looks,
             "jobs called off at the worst moments" to cluster.users.pressing.calledOff,
--- a/src/main/kotlin/org/honeyjunction/fake/Fault.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/Fault.kt
@@ -64,6 +64,9 @@
         /** Of four in ten heartbeats a copy arrives again, from 2 s to two leases later. */
         REPEAT,
 
+        /** Of four in ten messages with commands that a worker has executed and answered a copy arrives, from 0.1 s to three leases later. */
+        COPY,
+
         /** Copies of four in ten heartbeats are recorded, and reach every controller when the next terms begin. */
         KEEP,
 
@@ -128,6 +131,9 @@
         /** Heartbeats of workers. */
         data object Reports : Shared
 
+        /** Messages with commands to workers. */
+        data object Commands : Shared
+
         /** So many jobs that run. */
         data class Jobs(val count: Int) : Shared
 
@@ -167,7 +173,7 @@
             "at <seconds>s [on (write|term|end)] (kill|hang|refuse|isolate|mute) (leader|others|node <n>|all) [for <seconds>s], " +
                 "or instead (kill|hang|cut|notice|deafen|mute) (machine|<n> machines|zone <name>), " +
                 "(state|cloud) outage, (slow|lose|hurry) boots, lag lists, cancel (<n> jobs|ends|accepted), storm polls, close " +
-                "looks, odd requests, (delay writes|lose answers), (repeat|keep) reports"
+                "looks, odd requests, (delay writes|lose answers), (repeat|keep) reports, copy commands"
         const val SHARE = 0.4
 
         /** The former word for leader, which is still accepted. */
@@ -176,6 +182,8 @@
         const val LOST_BOOTS_ONE_IN = 4
         const val STORM_POLLS = 10
         private const val DEFAULT_MS = 4_000L
+        private const val MIN_COPY_DELAY_MS = 100L
+        private const val MAX_COPY_DELAY_LEASES = 3
         private const val MAX_S = 3_600.0
         private val shared =
             listOf(
@@ -185,6 +193,7 @@
                 Whom.Writes,
                 Whom.Answers,
                 Whom.Reports,
+                Whom.Commands,
                 Whom.Ends,
                 Whom.Accepted,
                 Whom.Looks,
@@ -210,6 +219,9 @@
         private val form =
             Regex("at ([0-9.]+)s(?: on (write|term|end))? (${verbs.joinToString("|")}) (${targets.joinToString("|")})(?: for ([0-9.]+)s)?")
 
+        /** Draws after how long a copy of an executed message arrives at a worker whose lease lasts [leaseMs]. */
+        fun copyDelayMs(random: Random, leaseMs: Long): Long = MIN_COPY_DELAY_MS + random.nextInt((leaseMs * MAX_COPY_DELAY_LEASES).toInt())
+
         /** Throws [IllegalArgumentException] with what is wrong with [text]. */
         fun parse(text: String): Fault {
             val match = form.matchEntire(text.trim().replace(Regex(" +"), " ")) ?: throw invalid(text)
@@ -252,6 +264,7 @@
                 What.REFUSE, What.ISOLATE -> whom is Whom.Nodes
                 What.DELAY -> whom == Whom.Writes
                 What.REPEAT, What.KEEP -> whom == Whom.Reports
+                What.COPY -> whom == Whom.Commands
                 What.SLOW, What.HURRY -> whom == Whom.Boots
                 What.LOSE -> whom == Whom.Boots || whom == Whom.Answers
                 What.LAG -> whom == Whom.Lists
--- a/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
@@ -46,6 +46,11 @@
     private val checkpoints = HashMap<String, Double>()
     private val hosts = LinkedHashMap<String, WorkerHost>()
     private var repeatUntil = 0L
+    private var copyCommandsUntil = 0L
+
+    /** The number of copies of executed commands that arrived. */
+    var commandCopies = 0
+        private set
 
     /** Copies of heartbeats that are recorded until the next terms. */
     private var keepUntil = 0L
@@ -165,6 +170,9 @@
                 watch.completed,
             )
         host.repeatUntil = repeatUntil
+        host.copyCommandsUntil = copyCommandsUntil
+        host.copyDelayMs = { Fault.copyDelayMs(it, settings.timing.leaseMs) }
+        host.onCopyExecuted = { started -> checkCopy(machine.name, started) }
         host.onReport = ::keep
         host.repeatWithinMs = (settings.timing.leaseMs * 2).toInt()
         hosts[machine.name] = host
@@ -233,6 +241,16 @@
         hosts.values.forEach { it.repeatUntil = repeatUntil }
     }
 
+    fun copyCommands(forMs: Long) {
+        copyCommandsUntil = now() + forMs
+        hosts.values.forEach { it.copyCommandsUntil = copyCommandsUntil }
+    }
+
+    private fun checkCopy(machine: String, started: Set<FakeWorker.Attempt>) {
+        commandCopies++
+        if (started.isNotEmpty()) watch.note(now(), "copy_started: $started on $machine")
+    }
+
     /** Machines rented within [forMs] boot as [what] says. */
     fun boots(what: Fault.What, forMs: Long) {
         when (what) {
--- a/src/main/kotlin/org/honeyjunction/fake/WorkerHost.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/WorkerHost.kt
@@ -31,6 +31,13 @@
     var repeatUntil = 0L
     var repeatWithinMs = 1
 
+    /** Until then copies of executed commands arrive late; [copyDelayMs] draws how late. */
+    var copyCommandsUntil = 0L
+    var copyDelayMs: (Random) -> Long = { 0L }
+
+    /** Is given the attempts that a copy of executed commands has started, which must be none. */
+    var onCopyExecuted: (Set<FakeWorker.Attempt>) -> Unit = {}
+
     /** Is given each report as it is sent. */
     var onReport: (ByteArray) -> Unit = {}
     private val scope = CoroutineScope(loop.scope.coroutineContext + Job(loop.scope.coroutineContext[Job]))
@@ -69,9 +76,23 @@
             }
         if (call.token < 0 || call.session < 0) return Response(400)
         val done = worker.command(call.token, call.session, call.commands, now())
+        if (done && now() < copyCommandsUntil && random.nextDouble() < Fault.SHARE) copy(call)
         return Response(if (done) 200 else 409, CounterpartCodec.heartbeat(worker.report()))
     }
 
+    /** The commands of [call] arrive once more; nobody waits for the answer. */
+    private fun copy(call: CounterpartCodec.Commands) {
+        val afterMs = copyDelayMs(random)
+        scope.launch {
+            delay(afterMs)
+            while (held()) delay(STEP_MS)
+            worker.advance(now())
+            val known = worker.tasks.keys.toSet()
+            worker.command(call.token, call.session, call.commands, now())
+            onCopyExecuted(worker.tasks.keys - known)
+        }
+    }
+
     private suspend fun reportAll() {
         while (true) {
             val pause = reportMs * 3 / 4 + random.nextInt((reportMs / 2).toInt().coerceAtLeast(1))
--- a/src/main/kotlin/org/honeyjunction/simulation/ScenarioFaults.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/ScenarioFaults.kt
@@ -20,6 +20,10 @@
                 cluster.network.repeatedHeartbeatPercent = (Fault.SHARE * 100).toInt()
                 cluster.after(fault.forMs) { cluster.network.repeatedHeartbeatPercent = 0 }
             }
+            Fault.Whom.Commands -> {
+                cluster.network.commandCopyDelayMs = { drawCopyDelayMs() }
+                cluster.after(fault.forMs) { cluster.network.commandCopyDelayMs = { null } }
+            }
             Fault.Whom.Boots -> injectIntoBoots(fault)
             is Fault.Whom.Nodes -> injectIntoLeader(fault)
             is Fault.Whom.Hosts -> injectIntoMachines(fault, target)
@@ -28,6 +32,9 @@
         }
     }
 
+    private fun drawCopyDelayMs(): Long? =
+        if (cluster.random.nextDouble() < Fault.SHARE) Fault.copyDelayMs(cluster.random, cluster.workerLeaseMs) else null
+
     /**
      * Only one leader is simulated at a time, so that a fault of any node affects the leader; its successor is elected when its
      * lease has expired.
--- a/src/main/kotlin/org/honeyjunction/simulation/SimulatedCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/SimulatedCluster.kt
@@ -26,6 +26,7 @@
     private val effects = EffectExecutor(context, workerNetwork, cloud)
 
     val random get() = context.random
+    val workerLeaseMs get() = setup.workerLeaseMs
     val now get() = context.now
     val state get() = context.state
     val workers get() = context.workers
--- a/src/test/kotlin/org/honeyjunction/app/SimulationSearchTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/SimulationSearchTest.kt
@@ -85,6 +85,10 @@
                 "15s on term hang leader for 8s, at 24s kill leader for 1s",
             "new machines get work at once while writes lag and the leader ends | at 0s hurry boots for 40s, at 0s lag lists for " +
                 "40s, at 4s delay writes for 20s, at 6s kill leader for 9s, at 14s on write kill leader for 9s",
+            "copies of executed commands, their leader back within a second | at 4s copy commands for 60s, at 5s cancel accepted for " +
+                "30s, at 9s kill leader for 0.6s, at 20s kill all for 0.5s, at 21s cancel 4 jobs for 5s",
+            "copies of executed commands while machines are drained and cut | at 4s copy commands for 60s, at 8s notice machine for " +
+                "20s, at 12s cut 4 machines for 9s, at 15s kill leader for 0.4s, at 25s cancel ends for 20s",
             "old reports after newer ones, of earlier sessions | at 7s repeat reports for 60s, at 9s cut 4 machines for 9s, at 19s " +
                 "kill leader for 2s",
         ],
