--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/JobLifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/JobLifecycle.kt
@@ -105,19 +105,30 @@
      * fencing token, or the time in which former leaders may renew leases must be over; see [RenewalBound]. If a lease can't
      * expire within the time limit that the settings define, the tasks must be gone first.
      */
-    private fun mayConfirm(job: Job, now: Long): Boolean {
-        if (job.unfinished == 0) return true
+    private fun mayConfirm(job: Job, now: Long): Boolean = confirmationBasis(job, now) != null
+
+    /** Why the final state of [job] may become durable; null if it may not yet. */
+    private fun confirmationBasis(job: Job, now: Long): ConfirmationBasis? {
+        if (job.unfinished == 0) return ConfirmationBasis.ALL_TASKS_DONE
         val maybeOnMachines = job.placements.filter { it.phase > Phase.RECORDED }
-        if (!leaseFitsCancellation) return maybeOnMachines.isEmpty()
-        val formerLeadersExpired = now - state.startedAt >= RenewalBound.CONFIRMATION_DELAY_MS
-        return formerLeadersExpired || maybeOnMachines.all { it.machine.lease.fenced }
+        return when {
+            maybeOnMachines.isEmpty() -> ConfirmationBasis.NO_TASK_ON_A_MACHINE
+            !leaseFitsCancellation -> null
+            maybeOnMachines.all { it.machine.lease.fenced } -> ConfirmationBasis.WORKERS_HAVE_TOKEN
+            now - state.startedAt >= RenewalBound.CONFIRMATION_DELAY_MS -> ConfirmationBasis.FORMER_LEADERS_EXPIRED
+            else -> null
+        }
     }
 
+    private enum class ConfirmationBasis { ALL_TASKS_DONE, NO_TASK_ON_A_MACHINE, WORKERS_HAVE_TOKEN, FORMER_LEADERS_EXPIRED }
+
     private fun write(job: Job, now: Long) {
+        val basis = confirmationBasis(job, now)
         // A job with unfinished tasks only gets here because it was cancelled.
         val cancelled = job.terminalRecord.beginWrite(job.unfinished > 0)
         state.commit(listOf(Change.JobFinished(job.spec.id, job.version, cancelled))) { outcome ->
             if (outcome is CommitOutcome.Applied) {
+                if (cancelled) logCancellation(job, basis)
                 applyFinalState(job, cancelled, now)
             } else {
                 job.terminalRecord.writeUnanswered()
@@ -126,6 +137,13 @@
         }
     }
 
+    private fun logCancellation(job: Job, basis: ConfirmationBasis?) =
+        state.eventLog.log("cancellation-recorded", state.now) {
+            val machines = job.placements.map { it.machine.name }.distinct()
+            val named = machines.take(MAX_NAMED).joinToString()
+            "${job.spec.id}, since $basis; ${job.placements.size} tasks to stop on ${machines.size} machines [$named]"
+        }
+
     private fun read(job: Job) {
         job.terminalRecord.beginRead()
         state.effects += Effect.ReadJobRecord(job.spec.id)
@@ -167,6 +185,11 @@
         job.placements.toList().forEach { it.requestStop(0.0) }
         state.effects += Effect.CancellationConfirmed(job.spec.id, done = !cancelled)
     }
+
+    private companion object {
+        /** The most machines that one line of the log names. */
+        const val MAX_NAMED = 5
+    }
 }
 
 /** What the [FairnessMonitor] counts of this job. */
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -169,9 +169,7 @@
         unansweredMessages[id] = Message(machine, starts)
         val session = maxOf(machine.lease.session, FIRST_SESSION)
         state.messageCounters.sent++
-        if (starts.isNotEmpty()) {
-            state.eventLog.log("starts-sent", now) { "${machine.name}: ${describe(starts)} with token ${machine.token}, session $session" }
-        }
+        logMessage(machine, session, starts, commands.filterIsInstance<Command.Stop>(), now)
         state.effects += Effect.Send(id, machine.name, address, machine.token, session, commands)
     }
 
@@ -240,6 +238,16 @@
         return message
     }
 
+    private fun logMessage(machine: Machine, session: Long, starts: List<Placement>, stops: List<Command.Stop>, now: Long) {
+        val target = "${machine.name} with token ${machine.token}, session $session"
+        if (starts.isNotEmpty()) state.eventLog.log("starts-sent", now) { "to $target: ${describe(starts)}" }
+        if (stops.isEmpty()) return
+        state.eventLog.log("stops-sent", now) {
+            val named = stops.take(MAX_NAMED).joinToString { "${it.task} in attempt ${it.attempt}" }
+            "to $target: ${stops.size} [$named${if (stops.size > MAX_NAMED) ", ..." else ""}]"
+        }
+    }
+
     private fun describe(starts: List<Placement>): String {
         val named = starts.take(MAX_NAMED).joinToString { "${it.task.id} in attempt ${it.attempt}" }
         return "${starts.size} starts [$named${if (starts.size > MAX_NAMED) ", ..." else ""}]"
