--- a/src/main/kotlin/org/honeyjunction/core/control/machines/UnrecordedTaskGuard.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/UnrecordedTaskGuard.kt
@@ -24,7 +24,7 @@
  * known at that time; tasks on them are found when they report.
  */
 internal class UnrecordedTaskGuard(private val state: ClusterState, private val journal: PlacementJournal) {
-    private val unheard = LinkedHashSet<Machine>()
+    private val unconfirmedMachines = LinkedHashSet<Machine>()
     private val heldBack = LinkedHashSet<Job>()
 
     /** The time, in milliseconds from the start of the term, after which every lease that a former leader renewed has expired. */
@@ -35,12 +35,12 @@
     /** Called once all jobs and machines of earlier terms are recovered, if a page of their journal is not complete. */
     fun begin(now: Long) {
         journal.complete = false
-        unheard += state.machines
+        unconfirmedMachines += state.machines
         heldBack += state.active.values
         heldBack.forEach { it.heldBack = true }
         log(
             "journal-incomplete",
-            "an earlier version may have dropped running tasks: ${heldBack.size} jobs wait for ${unheard.size} machines",
+            "an earlier version may have dropped running tasks: ${heldBack.size} jobs wait for ${unconfirmedMachines.size} machines",
         )
         step(now)
     }
@@ -49,14 +49,14 @@
     fun step(now: Long) {
         if (journal.complete) return
         val expired = now - state.startedAt > leasesExpireAfterMs
-        unheard.removeIf { expired || it.lease.fenced || it.phase == MachinePhase.GONE }
+        unconfirmedMachines.removeIf { expired || it.lease.fenced || it.phase == MachinePhase.GONE }
         heldBack.removeIf { job -> mayBeReleased(job).also { released -> job.heldBack = !released } }
-        if (unheard.isNotEmpty()) return
+        if (unconfirmedMachines.isNotEmpty()) return
         journal.complete = true
         log("journal-complete", "every machine of earlier terms has reported or is gone after ${now - state.startedAt} ms")
     }
 
-    private fun mayBeReleased(job: Job) = job.stage != JobStage.ACTIVE || unheard.none { mayRunOn(it, job) }
+    private fun mayBeReleased(job: Job) = job.stage != JobStage.ACTIVE || unconfirmedMachines.none { mayRunOn(it, job) }
 
     private fun mayRunOn(machine: Machine, job: Job): Boolean {
         val unknown = machine.type !in state.cluster.types || machine.zone == NameTable.ABSENT
--- a/src/main/kotlin/org/honeyjunction/fake/HistoryChecker.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/HistoryChecker.kt
@@ -1,5 +1,6 @@
 package org.honeyjunction.fake
 
+import org.honeyjunction.core.control.journal.JournalPageRecord
 import org.honeyjunction.core.model.JobSpec
 import org.honeyjunction.core.model.Resources
 
@@ -16,7 +17,7 @@
 }
 
 /** A task and a machine on which a page of the placement journal says that it may have been started. */
-data class RecordedPlace(val task: String, val machine: String)
+private data class RecordedPlace(val task: String, val machine: String)
 
 /** Checks the rules of PROTOCOL against the tasks that really are on the machines, and against responses to users. */
 class HistoryChecker(private val limits: Map<String, Resources>, private val cancelMs: Long) {
@@ -51,6 +52,7 @@
     /** Called with every start, for further checks. */
     var onStart: (Start) -> Unit = {}
 
+    /** Checks all rules about tasks on [workers] at [now]. */
     fun check(workers: Collection<FakeWorker>, now: Long) {
         val live = workers.filter { it.holds(now) }.flatMap { w -> w.tasks.values.filter { it.live }.map { Live(w, it) } }
         val byJob = live.groupBy { it.task.spec.id }
@@ -61,30 +63,32 @@
             if (before.put(id, key) != key) started(here, byJob.getValue(here.task.spec.id), now)
         }
         before.keys.retainAll(live.mapTo(HashSet()) { it.task.id })
-        for ((team, of) in live.groupBy { it.task.spec.team }) {
-            val limit = limits[team] ?: continue
-            val used = of.fold(Resources.NONE) { sum, l -> sum + l.task.spec.need }
-            if (limit.gpus > 0 && used.gpus + of[0].task.spec.need.gpus > limit.gpus) atLimit++
-            if (limit.gpus > 0 &&
-                used.gpus > limit.gpus + 1e-6 ||
-                limit.cpus > 0 &&
-                used.cpus > limit.cpus + 1e-6
-            ) {
-                note(now, "quota: $team uses $used")
-            }
-        }
-        for (w in workers) {
-            val used = w.used()
-            if (!used.fitsIn(w.box.size)) note(now, "overcommitted: ${w.name} $used")
-        }
+        for ((team, of) in live.groupBy { it.task.spec.team }) checkLimit(team, of, now)
+        for (worker in workers) checkCapacity(worker, now)
         for ((id, since) in cancelledAt) if (now - since > cancelMs && id in byJob) note(now, "ran_cancelled: $id")
     }
 
+    /** Checks that [live], the tasks of [team], do not use more than its limit. */
+    private fun checkLimit(team: String, live: List<Live>, now: Long) {
+        val limit = limits[team] ?: return
+        val used = live.fold(Resources.NONE) { sum, here -> sum + here.task.spec.need }
+        if (limit.gpus > 0 && used.gpus + live[0].task.spec.need.gpus > limit.gpus) atLimit++
+        val gpusExceeded = limit.gpus > 0 && used.gpus > limit.gpus + ROUNDING
+        val cpusExceeded = limit.cpus > 0 && used.cpus > limit.cpus + ROUNDING
+        if (gpusExceeded || cpusExceeded) note(now, "quota: $team uses $used")
+    }
+
+    private fun checkCapacity(worker: FakeWorker, now: Long) {
+        val used = worker.used()
+        if (!used.fitsIn(worker.box.size)) note(now, "overcommitted: ${worker.name} $used")
+    }
+
     /**
-     * Checks that [recorded], the places that the stored journal names, include every task on a machine: a new leader takes a task that
-     * no page names for one that is on no machine.
+     * Checks that [pages], the stored placement journal, name every task that is on a machine: a new leader takes a task that no page names
+     * for one that is on no machine.
      */
-    fun checkRecorded(recorded: Set<RecordedPlace>, workers: Collection<FakeWorker>, now: Long) {
+    fun checkRecorded(pages: Collection<JournalPageRecord>, workers: Collection<FakeWorker>, now: Long) {
+        val recorded = pages.flatMapTo(HashSet()) { page -> page.starts.map { RecordedPlace("${it.job}/${it.number}", it.machine) } }
         for (worker in workers.filter { it.holds(now) }) {
             val unrecorded = worker.tasks.values.filter { it.live && RecordedPlace(it.id, worker.name) !in recorded }
             unrecorded.forEach { note(now, "unrecorded: ${it.id} in attempt ${it.attempt} on ${worker.name}") }
@@ -149,6 +153,9 @@
 
     private companion object {
         const val MAX_BROKEN = 100
+
+        /** Sums of amounts may exceed a limit by as much. */
+        const val ROUNDING = 1e-6
         const val WAITING_MS = 90_000L
     }
 }
--- a/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/LoopbackCluster.kt
@@ -125,8 +125,7 @@
             store.range(JOURNAL_PAGES, null, Int.MAX_VALUE).first.map { (key, page) ->
                 JournalPageCodec.read(key.removePrefix(JOURNAL_PAGES).toInt(), page.version, page.value)
             }
-        val recorded = pages.flatMap { it.starts }.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }
-        watch.checkRecorded(recorded, workers, now)
+        watch.checkRecorded(pages, workers, now)
     }
 
     /** A copy of an old heartbeat reaches every controller. */
--- a/src/main/kotlin/org/honeyjunction/simulation/ClusterChecks.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/ClusterChecks.kt
@@ -8,7 +8,6 @@
 import org.honeyjunction.core.rules.RuleSet
 import org.honeyjunction.core.rules.Test
 import org.honeyjunction.fake.HistoryChecker
-import org.honeyjunction.fake.RecordedPlace
 import org.honeyjunction.fake.ReferenceModel
 
 /** Checks invariants after every step of a [SimulatedCluster]; violations are added to [HistoryChecker.broken]. */
@@ -57,9 +56,8 @@
 
     private fun checkJournal() {
         checkedPageWrites = context.state.pageWrites
-        val starts = context.state.pages.values.flatMap { (page, _) -> page.starts }
-        val recorded = starts.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }
-        history.checkRecorded(recorded, context.workers.values, context.now)
+        val pages = context.state.pages.values.map { (page, _) -> page }
+        history.checkRecorded(pages, context.workers.values, context.now)
     }
 
     private fun checkStarvation(leader: Leader) {
--- a/src/test/kotlin/org/honeyjunction/app/HistoryCheckerTest.kt
+++ b/src/test/kotlin/org/honeyjunction/app/HistoryCheckerTest.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.honeyjunction.core.control.journal.JournalPageRecord
+import org.honeyjunction.core.control.journal.RecordedStart
 import org.honeyjunction.core.control.messages.Command
 import org.honeyjunction.core.control.messages.TaskState
 import org.honeyjunction.core.control.messages.TerminationReason
@@ -16,7 +18,6 @@
 import org.honeyjunction.fake.HistoryChecker
 import org.honeyjunction.fake.MachineSpec
 import org.honeyjunction.fake.PlannedJob
-import org.honeyjunction.fake.RecordedPlace
 import org.honeyjunction.fake.Work
 import org.honeyjunction.io.HttpServer
 import org.honeyjunction.simulation.VirtualEventLoop
@@ -301,7 +302,8 @@
     fun `a task on a machine that no page of the journal names`() {
         val workers = listOf("m1", "m2").map { machine(it, "a", "g", false, spec(2)) }
         workers.forEach { start(it, 0) }
-        val recorded = setOf(RecordedPlace("j-000001/0", "m1"), RecordedPlace("j-000001/1", "m2"))
+        val starts = listOf(RecordedStart("j-000001", 0, 1, "m1"), RecordedStart("j-000001", 1, 1, "m2"))
+        val recorded = listOf(JournalPageRecord(0, 1, starts, emptyMap()))
         watch.checkRecorded(recorded, workers.take(1), 20)
         assertEquals(emptyList<String>(), rules())
         watch.checkRecorded(recorded, workers, 20)
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
@@ -22,7 +22,6 @@
 import org.honeyjunction.fake.Gangs
 import org.honeyjunction.fake.HistoryChecker
 import org.honeyjunction.fake.MachineSpec
-import org.honeyjunction.fake.RecordedPlace
 import org.honeyjunction.fake.Work
 import org.honeyjunction.simulation.ClusterSetup
 import org.honeyjunction.simulation.FakeStateService
@@ -195,8 +194,7 @@
     private fun check() {
         checker.check(workers, now)
         if (case.earlierVersions) return
-        val starts = store.pages.values.flatMap { (page, _) -> page.starts }
-        checker.checkRecorded(starts.mapTo(HashSet()) { RecordedPlace("${it.job}/${it.number}", it.machine) }, workers, now)
+        checker.checkRecorded(store.pages.values.map { (page, _) -> page }, workers, now)
     }
 
     fun act(action: Action) {
