On each tick, sort only machines with due commands, and compute the late boot time only when it changes

Change: the quantile is kept until a boot time is recorded; machines without a due command are left out before they are sorted. What is sent, and in which order, stays the same.

--- a/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
+++ b/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
@@ -49,6 +49,24 @@
         var windowStartedAt = Long.MIN_VALUE
         val count get() = present.totalCount + previous.totalCount
 
+        /** The quantile at [LATE_PERCENTILE]; null if boot times were recorded since it was computed. */
+        private var late: Long? = null
+
+        /** The boot time in milliseconds at [percentile] of both windows. */
+        fun quantile(percentile: Double): Long =
+            present
+                .copy()
+                .also { it.add(previous) }
+                .getValueAtPercentile(percentile)
+
+        /** The boot time in milliseconds at [LATE_PERCENTILE]. It is needed for each booting machine, and seldom changes. */
+        fun late(): Long = late ?: quantile(LATE_PERCENTILE).also { late = it }
+
+        /** Notes that boot times were recorded, or that a window has ended. */
+        fun changed() {
+            late = null
+        }
+
         /** The rental times of the latest [MAX_RECENT_RENTAL_TIMES] machines that came up, in the order in which they came up. */
         val recentRentalTimes = ArrayDeque<Long>()
     }
@@ -60,6 +78,7 @@
         val observed = observationsOf.getOrPut(kind, ::Observations)
         rotate(observed, now)
         observed.present.recordValue((now - rentedAt).coerceIn(1, MAX_BOOT_MS))
+        observed.changed()
         observed.recentRentalTimes.addLast(rentedAt)
         if (observed.recentRentalTimes.size > MAX_RECENT_RENTAL_TIMES) observed.recentRentalTimes.removeFirst()
     }
@@ -92,17 +111,11 @@
         val nominalLateMs = nominalMs * NOMINAL_LATE_FACTOR
         val observed = observationsOf[kind] ?: return nominalLateMs.roundToLong()
         val weight = minOf(1.0, observed.count.toDouble() / FULL_WEIGHT_OBSERVATIONS)
-        val observedMs = quantile(observed, LATE_PERCENTILE) * OBSERVED_LATE_FACTOR
+        val observedMs = observed.late() * OBSERVED_LATE_FACTOR
         // In a period of slow boots, the first machines that come up raise the threshold before the other machines exceed it.
         return maxOf(nominalLateMs * (1 - weight), observedMs).roundToLong().coerceAtLeast(nominalMs)
     }
 
-    private fun quantile(observed: Observations, percentile: Double): Long =
-        observed.present
-            .copy()
-            .also { it.add(observed.previous) }
-            .getValueAtPercentile(percentile)
-
     /** Starts the next window if the present window is over. */
     private fun rotate(observed: Observations, now: Long) {
         if (observed.windowStartedAt == Long.MIN_VALUE) observed.windowStartedAt = now
@@ -110,6 +123,7 @@
         observed.previous = observed.present
         observed.present = histogram()
         observed.windowStartedAt = now
+        observed.changed()
     }
 
     /** The checkpoint for the next leader: the kinds with most observations. [namesOf] gives the names of type and zone of a kind. */
@@ -124,8 +138,8 @@
                     zone,
                     kind.spot,
                     observed.count.coerceAtMost(FULL_WEIGHT_OBSERVATIONS.toLong()).toInt(),
-                    medianMs = quantile(observed, MEDIAN_PERCENTILE),
-                    lateMs = quantile(observed, LATE_PERCENTILE),
+                    medianMs = observed.quantile(MEDIAN_PERCENTILE),
+                    lateMs = observed.late(),
                 )
             }
 
@@ -137,6 +151,7 @@
         val usualCount = (checkpoint.count - lateCount).coerceAtLeast(0)
         observed.present.recordValueWithCount(checkpoint.medianMs.coerceIn(1, MAX_BOOT_MS), usualCount.toLong())
         observed.present.recordValueWithCount(checkpoint.lateMs.coerceIn(1, MAX_BOOT_MS), lateCount.toLong())
+        observed.changed()
     }
 
     companion object {
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -113,9 +113,10 @@
 
     /** Sends due commands without making any decision; past the leader lease these are stops only. */
     fun sendDue(machines: Collection<Machine>, now: Long) {
+        val due = machines.filter { mayBeSentTo(it, now) && (isUnfenced(it) || hasDueCommand(it, now)) }
         // The number of unanswered messages is bounded: after a mass failure the most urgent ones are sent first.
-        val allMayBeSent = unansweredMessages.size + machines.size <= state.cluster.maxCommandsInFlight
-        val ordered = if (allMayBeSent) machines else machines.sortedByDescending { urgency(it) }
+        val allMayBeSent = unansweredMessages.size + due.size <= state.cluster.maxCommandsInFlight
+        val ordered = if (allMayBeSent) due else due.sortedByDescending { urgency(it) }
         for (machine in ordered) send(machine, now)
     }
 
@@ -148,16 +149,25 @@
         concerned.forEach { if (it.phase <= Phase.RECORDED) state.remove(it, now) else it.requestStop(0.0) }
     }
 
+    private fun mayBeSentTo(machine: Machine, now: Long): Boolean =
+        machine.address != null && !machine.commandInFlight && now >= machine.nextCommandAt && machine.phase != MachinePhase.GONE
+
+    /**
+     * Whether [machine] may not know this term's fencing token. A new leader sends it without waiting for a heartbeat: once the worker has
+     * acknowledged it, answers of other leaders no longer renew the worker's lease.
+     */
+    private fun isUnfenced(machine: Machine): Boolean =
+        !machine.lease.fenced && (machine.lease.session > 0 || machine.phase == MachinePhase.UNCONFIRMED)
+
+    private fun hasDueCommand(machine: Machine, now: Long): Boolean =
+        machine.placements.values.any { startIsDue(it, machine, now) || stopIsDue(it, now) }
+
     private fun send(machine: Machine, now: Long) {
         val address = machine.address ?: return
-        if (machine.commandInFlight || now < machine.nextCommandAt || machine.phase == MachinePhase.GONE) return
-        // A new leader sends its fencing token without waiting for a heartbeat: once the worker has acknowledged it, answers
-        // of other leaders no longer renew the worker's lease.
-        val unfenced = !machine.lease.fenced && (machine.lease.session > 0 || machine.phase == MachinePhase.UNCONFIRMED)
-        if (machine.placements.isEmpty() && !unfenced || unansweredMessages.size >= state.cluster.maxCommandsInFlight) return
+        if (unansweredMessages.size >= state.cluster.maxCommandsInFlight) return
         val starts = ArrayList<Placement>()
         val commands = dueCommands(machine, now, starts)
-        if (commands.isEmpty() && !unfenced) return
+        if (commands.isEmpty() && !isUnfenced(machine)) return
         val id = state.nextSequence()
         machine.commandInFlight = true
         if (starts.isNotEmpty()) machine.recordStart()
@@ -178,12 +188,10 @@
         val commands = ArrayList<Command>()
         for (placement in machine.placements.values) {
             if (commands.size >= MAX_COMMANDS) break
-            if (placement.phase == Phase.RECORDED && now < state.leaseValidUntil && machine.usable && isReady(placement)) {
+            if (startIsDue(placement, machine, now)) {
                 starts += placement
                 commands += Command.Start(placement.task.id, placement.attempt)
-            } else if (placement.stopping && placement.phase > Phase.RECORDED && now - placement.stopSentAt >= STOP_RETRY_MS) {
-                val writesCheckpoint = placement.phase == Phase.SAVING && placement.stopGraceS > 0
-                if (writesCheckpoint) continue
+            } else if (stopIsDue(placement, now)) {
                 placement.stopSentAt = now
                 commands += Command.Stop(placement.task.id, placement.attempt, placement.stopGraceS)
             }
@@ -191,6 +199,14 @@
         return commands
     }
 
+    private fun startIsDue(placement: Placement, machine: Machine, now: Long): Boolean =
+        placement.phase == Phase.RECORDED && now < state.leaseValidUntil && machine.usable && isReady(placement)
+
+    private fun stopIsDue(placement: Placement, now: Long): Boolean {
+        val writesCheckpoint = placement.phase == Phase.SAVING && placement.stopGraceS > 0
+        return placement.stopping && placement.phase > Phase.RECORDED && !writesCheckpoint && now - placement.stopSentAt >= STOP_RETRY_MS
+    }
+
     private fun isReady(placement: Placement): Boolean {
         val job = placement.task.job
         // The task may have been found on another machine since the start was reserved.
