--- a/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
@@ -31,7 +31,7 @@
         machine.lease.on(WorkerLease.Event.HeartbeatAnswered(heartbeat.session, now))
         val commands = commandsFor(machine, heartbeat, latest)
         // Voided before the flush, so that the messages of the flush carry the same token as the response.
-        voidForgottenStarts(machine, commands.filterIsInstance<Command.Forget>(), now)
+        if (commands.any { it is Command.Forget }) voidForgottenStarts(machine, commands.filterIsInstance<Command.Forget>(), now)
         components.flush(now)
         return HeartbeatResponse(machine.token, commands)
     }
@@ -49,7 +49,6 @@
 
     /** Voids the starts that were sent to [machine], before it may execute one of them again because it has [forgotten] the attempt. */
     private fun voidForgottenStarts(machine: Machine, forgotten: List<Command.Forget>, now: Long) {
-        if (forgotten.isEmpty()) return
         val before = machine.token
         state.voidSentStarts(machine)
         state.messageCounters.forgotten += forgotten.size
