One piece for copies, for names in log lines and for boot times; nothing computed twice

Lines for messages are only composed where they are logged. - BootTimes.Observations records and rotates itself, so that no caller can forget to drop the late boot time. - UnknownJobs derives its two counts; a check in TaskDispatcher.send that the filter before it had made dead is gone; the same pause after two kinds of failed reads stands once; comments of over 140 characters are wrapped.

--- a/src/main/kotlin/org/honeyjunction/app/leader/JobRecordReader.kt
+++ b/src/main/kotlin/org/honeyjunction/app/leader/JobRecordReader.kt
@@ -13,7 +13,7 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 
-/** Reads the records of jobs whose terminal write has an unknown outcome, or that only a worker has named, and reports them to the leader. */
+/** Reads, for the leader, the records of jobs whose terminal write has an unknown outcome, or that only a worker has named. */
 internal class JobRecordReader(
     private val context: TermContext,
     private val store: KeyValueClient,
@@ -37,15 +37,18 @@
             lookUp(job)
         } catch (e: IOException) {
             log.debug("failed to read the record of {}: {}", job, e.message)
-            // The permit is kept during the delay, because the next read would probably fail as well.
-            delay(RETRY_MS)
-            JobRecord.Unread
+            unreadAfterDelay()
         } catch (e: MalformedException) {
             log.error("malformed record of job {}: {}", job, e.message)
-            delay(RETRY_MS)
-            JobRecord.Unread
+            unreadAfterDelay()
         }
 
+    /** The permit is kept during the delay, because the next read would probably fail as well. */
+    private suspend fun unreadAfterDelay(): JobRecord {
+        delay(RETRY_MS)
+        return JobRecord.Unread
+    }
+
     /** A record moves from the key of the active job to that of the terminal record and never back, so the keys are read in this order. */
     private suspend fun lookUp(job: String): JobRecord {
         val active = store.get(Keys.job(job))
--- a/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
+++ b/src/main/kotlin/org/honeyjunction/core/boot/BootTimes.kt
@@ -44,9 +44,9 @@
  */
 class BootTimes(private val windowMs: Long = 600_000) {
     private class Observations {
-        var present = histogram()
-        var previous = histogram()
-        var windowStartedAt = Long.MIN_VALUE
+        private var present = histogram()
+        private var previous = histogram()
+        private var windowStartedAt = Long.MIN_VALUE
         val count get() = present.totalCount + previous.totalCount
 
         /** The quantile at [LATE_PERCENTILE]; null if boot times were recorded since it was computed. */
@@ -62,8 +62,19 @@
         /** The boot time in milliseconds at [LATE_PERCENTILE]. It is needed for each booting machine, and seldom changes. */
         fun late(): Long = late ?: quantile(LATE_PERCENTILE).also { late = it }
 
-        /** Notes that boot times were recorded, or that a window has ended. */
-        fun changed() {
+        /** Records [count] boots of [bootMs] milliseconds. */
+        fun record(bootMs: Long, count: Long = 1) {
+            present.recordValueWithCount(bootMs.coerceIn(1, MAX_BOOT_MS), count)
+            late = null
+        }
+
+        /** Starts the next window if the present window, of [windowMs], is over. */
+        fun rotate(now: Long, windowMs: Long) {
+            if (windowStartedAt == Long.MIN_VALUE) windowStartedAt = now
+            if (now - windowStartedAt < windowMs) return
+            previous = present
+            present = histogram()
+            windowStartedAt = now
             late = null
         }
 
@@ -76,9 +87,8 @@
     /** Records that a machine of [kind], rented at [rentedAt], sent its first message at [now]. */
     fun recordBoot(kind: InstanceKind, rentedAt: Long, now: Long) {
         val observed = observationsOf.getOrPut(kind, ::Observations)
-        rotate(observed, now)
-        observed.present.recordValue((now - rentedAt).coerceIn(1, MAX_BOOT_MS))
-        observed.changed()
+        observed.rotate(now, windowMs)
+        observed.record(now - rentedAt)
         observed.recentRentalTimes.addLast(rentedAt)
         if (observed.recentRentalTimes.size > MAX_RECENT_RENTAL_TIMES) observed.recentRentalTimes.removeFirst()
     }
@@ -116,16 +126,6 @@
         return maxOf(nominalLateMs * (1 - weight), observedMs).roundToLong().coerceAtLeast(nominalMs)
     }
 
-    /** Starts the next window if the present window is over. */
-    private fun rotate(observed: Observations, now: Long) {
-        if (observed.windowStartedAt == Long.MIN_VALUE) observed.windowStartedAt = now
-        if (now - observed.windowStartedAt < windowMs) return
-        observed.previous = observed.present
-        observed.present = histogram()
-        observed.windowStartedAt = now
-        observed.changed()
-    }
-
     /** The checkpoint for the next leader: the kinds with most observations. [namesOf] gives the names of type and zone of a kind. */
     fun checkpoint(namesOf: (InstanceKind) -> Pair<String, String>): List<BootTimeCheckpoint> =
         observationsOf.entries
@@ -146,12 +146,11 @@
     /** Restores the observations of an earlier leader, approximated by their median and 95th percentile. */
     fun restore(kind: InstanceKind, checkpoint: BootTimeCheckpoint, now: Long) {
         val observed = observationsOf.getOrPut(kind, ::Observations)
-        rotate(observed, now)
+        observed.rotate(now, windowMs)
         val lateCount = maxOf(1, checkpoint.count / RESTORED_LATE_DIVISOR)
         val usualCount = (checkpoint.count - lateCount).coerceAtLeast(0)
-        observed.present.recordValueWithCount(checkpoint.medianMs.coerceIn(1, MAX_BOOT_MS), usualCount.toLong())
-        observed.present.recordValueWithCount(checkpoint.lateMs.coerceIn(1, MAX_BOOT_MS), lateCount.toLong())
-        observed.changed()
+        observed.record(checkpoint.medianMs, usualCount.toLong())
+        observed.record(checkpoint.lateMs, lateCount.toLong())
     }
 
     companion object {
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/JobLifecycle.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/JobLifecycle.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.control.journal.PlacementJournal
 import org.honeyjunction.core.control.leader.ClusterState
+import org.honeyjunction.core.control.leader.summarized
 import org.honeyjunction.core.control.messages.Change
 import org.honeyjunction.core.control.messages.CommitOutcome
 import org.honeyjunction.core.control.messages.Effect
@@ -27,12 +28,12 @@
  * | step | where | what happens |
  * | --- | --- | --- |
  * | 1. requested | [taskDone] of the last task, [cancel] | no task of a cancelled job is started any more, and all are stopped |
- * | 2. permitted | [mayConfirm] | a cancellation waits here until no former leader can renew the lease of its workers |
+ * | 2. permitted | [confirmationBasis] | a cancellation waits here until no former leader can renew the lease of its workers |
  * | 3. written | [write] | a compare-and-swap on the job's active record and on the leader's term |
  * | 4. in doubt | [read], [recordRead] | after an unclear answer the record is read, and written again if it is still active |
  * | 5. confirmed | [applyFinalState] | the final state is durable: [Effect.CancellationConfirmed] answers the waiting requests |
  *
- * So only [applyFinalState] confirms a cancellation. This is safe because the final state is durable and [mayConfirm] held
+ * So only [applyFinalState] confirms a cancellation. This is safe because the final state is durable and [confirmationBasis] was met
  * when its write was sent. Tasks may still run for a short time: their workers are told to stop them, and a worker that can't
  * be reached stops them when its lease expires, within the time limit that the settings define for cancellations.
  */
@@ -87,27 +88,31 @@
         due.forEach { advance(it, now) }
     }
 
-    private fun advance(job: Job, now: Long) =
+    private fun advance(job: Job, now: Long) {
         when (job.terminalRecord.state) {
-            TerminalRecord.State.OPEN -> if (mayConfirm(job, now)) write(job, now) else recordsDue += job
+            TerminalRecord.State.OPEN -> {
+                val basis = confirmationBasis(job, now)
+                if (basis != null) write(job, basis, now) else recordsDue += job
+            }
             TerminalRecord.State.OUTCOME_UNKNOWN -> read(job)
             // An earlier write may still take effect. While no new write may be sent, the record is read again.
-            TerminalRecord.State.PENDING -> if (mayConfirm(job, now)) write(job, now) else read(job)
+            TerminalRecord.State.PENDING -> {
+                val basis = confirmationBasis(job, now)
+                if (basis != null) write(job, basis, now) else read(job)
+            }
             // Workers repeat the report of an ended task until it is reaped, so a record may become due again here. The
             // answer to the request that is on its way advances it.
             TerminalRecord.State.WRITING, TerminalRecord.State.READING, TerminalRecord.State.RECORDED -> Unit
         }
+    }
 
     /**
-     * Whether the final state of [job] may become durable. A job whose tasks are all done can always be recorded, since results
-     * are final. After a cancellation is confirmed, the tasks must end within the time limit whatever fails: only this leader
-     * may be able to renew the lease of a worker that may run one. So every such worker must have acknowledged this term's
-     * fencing token, or the time in which former leaders may renew leases must be over; see [RenewalBound]. If a lease can't
-     * expire within the time limit that the settings define, the tasks must be gone first.
+     * Why the final state of [job] may become durable; null if it may not yet. A job whose tasks are all done can always be recorded,
+     * since results are final. After a cancellation is confirmed, the tasks must end within the time limit whatever fails: only this
+     * leader may be able to renew the lease of a worker that may run one. So every such worker must have acknowledged this term's
+     * fencing token, or the time in which former leaders may renew leases must be over; see [RenewalBound]. If a lease can't expire
+     * within the time limit that the settings define, the tasks must be gone first.
      */
-    private fun mayConfirm(job: Job, now: Long): Boolean = confirmationBasis(job, now) != null
-
-    /** Why the final state of [job] may become durable; null if it may not yet. */
     private fun confirmationBasis(job: Job, now: Long): ConfirmationBasis? {
         if (job.unfinished == 0) return ConfirmationBasis.ALL_TASKS_DONE
         val maybeOnMachines = job.placements.filter { it.phase > Phase.RECORDED }
@@ -122,8 +127,7 @@
 
     private enum class ConfirmationBasis { ALL_TASKS_DONE, NO_TASK_ON_A_MACHINE, WORKERS_HAVE_TOKEN, FORMER_LEADERS_EXPIRED }
 
-    private fun write(job: Job, now: Long) {
-        val basis = confirmationBasis(job, now)
+    private fun write(job: Job, basis: ConfirmationBasis, now: Long) {
         // A job with unfinished tasks only gets here because it was cancelled.
         val cancelled = job.terminalRecord.beginWrite(job.unfinished > 0)
         state.commit(listOf(Change.JobFinished(job.spec.id, job.version, cancelled))) { outcome ->
@@ -137,11 +141,10 @@
         }
     }
 
-    private fun logCancellation(job: Job, basis: ConfirmationBasis?) =
+    private fun logCancellation(job: Job, basis: ConfirmationBasis) =
         state.eventLog.log("cancellation-recorded", state.now) {
             val machines = job.placements.map { it.machine.name }.distinct()
-            val named = machines.take(MAX_NAMED).joinToString()
-            "${job.spec.id}, since $basis; ${job.placements.size} tasks to stop on ${machines.size} machines [$named]"
+            "${job.spec.id}, since $basis; ${job.placements.size} tasks to stop on machines ${machines.summarized { it }}"
         }
 
     private fun read(job: Job) {
@@ -185,11 +188,6 @@
         job.placements.toList().forEach { it.requestStop(0.0) }
         state.effects += Effect.CancellationConfirmed(job.spec.id, done = !cancelled)
     }
-
-    private companion object {
-        /** The most machines that one line of the log names. */
-        const val MAX_NAMED = 5
-    }
 }
 
 /** What the [FairnessMonitor] counts of this job. */
--- a/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/jobs/TaskDispatcher.kt
@@ -2,6 +2,7 @@
 
 import org.honeyjunction.core.control.journal.PlacementJournal
 import org.honeyjunction.core.control.leader.ClusterState
+import org.honeyjunction.core.control.leader.summarized
 import org.honeyjunction.core.control.messages.Command
 import org.honeyjunction.core.control.messages.Effect
 import org.honeyjunction.core.control.messages.Heartbeat
@@ -162,12 +163,12 @@
     private fun hasDueCommand(machine: Machine, now: Long): Boolean =
         machine.placements.values.any { startIsDue(it, machine, now) || stopIsDue(it, now) }
 
+    /** Sends the commands that are due, or none if only the fencing token is to be sent. */
     private fun send(machine: Machine, now: Long) {
         val address = machine.address ?: return
         if (unansweredMessages.size >= state.cluster.maxCommandsInFlight) return
         val starts = ArrayList<Placement>()
         val commands = dueCommands(machine, now, starts)
-        if (commands.isEmpty() && !isUnfenced(machine)) return
         val id = state.nextSequence()
         machine.commandInFlight = true
         if (starts.isNotEmpty()) machine.recordStart()
@@ -179,7 +180,7 @@
         unansweredMessages[id] = Message(machine, starts)
         val session = maxOf(machine.lease.session, FIRST_SESSION)
         state.messageCounters.sent++
-        logMessage(machine, session, starts, commands.filterIsInstance<Command.Stop>(), now)
+        logMessage(machine, session, starts, commands, now)
         state.effects += Effect.Send(id, machine.name, address, machine.token, session, commands)
     }
 
@@ -254,25 +255,23 @@
         return message
     }
 
-    private fun logMessage(machine: Machine, session: Long, starts: List<Placement>, stops: List<Command.Stop>, now: Long) {
-        val target = "${machine.name} with token ${machine.token}, session $session"
-        if (starts.isNotEmpty()) state.eventLog.log("starts-sent", now) { "to $target: ${describe(starts)}" }
-        if (stops.isEmpty()) return
+    /** Logs a message with [commands], of which [starts] are started and the others are stops. */
+    private fun logMessage(machine: Machine, session: Long, starts: List<Placement>, commands: List<Command>, now: Long) {
+        if (starts.isNotEmpty()) {
+            state.eventLog.log("starts-sent", now) { "${describeTarget(machine, session)}: ${describe(starts)}" }
+        }
+        if (commands.size == starts.size) return
         state.eventLog.log("stops-sent", now) {
-            val named = stops.take(MAX_NAMED).joinToString { "${it.task} in attempt ${it.attempt}" }
-            "to $target: ${stops.size} [$named${if (stops.size > MAX_NAMED) ", ..." else ""}]"
+            val stops = commands.filterIsInstance<Command.Stop>()
+            "${describeTarget(machine, session)}: ${stops.summarized { "${it.task} in attempt ${it.attempt}" }}"
         }
     }
 
-    private fun describe(starts: List<Placement>): String {
-        val named = starts.take(MAX_NAMED).joinToString { "${it.task.id} in attempt ${it.attempt}" }
-        return "${starts.size} starts [$named${if (starts.size > MAX_NAMED) ", ..." else ""}]"
-    }
+    private fun describeTarget(machine: Machine, session: Long) = "to ${machine.name} with token ${machine.token}, session $session"
 
-    private companion object {
-        /** The most starts that one line of the log names. */
-        const val MAX_NAMED = 5
+    private fun describe(starts: List<Placement>) = "starts ${starts.summarized { "${it.task.id} in attempt ${it.attempt}" }}"
 
+    private companion object {
         /** A reservation must be recorded within this time, and then sent within this time. */
         const val RESERVATION_MS = 6_000L
         const val STOP_RETRY_MS = 1_500L
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/EventLog.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/EventLog.kt
@@ -3,8 +3,8 @@
 import org.honeyjunction.core.control.messages.Effect
 
 /**
- * Logs events that may be frequent. Of each event at most [MAX_LINES] lines are logged in [WINDOW_MS] milliseconds; the first line after that
- * tells how many were omitted.
+ * Logs events that may be frequent. Of each event at most [MAX_LINES] lines are logged in [WINDOW_MS] milliseconds; the first line after
+ * that tells how many were omitted.
  */
 class EventLog(private val effects: MutableList<Effect>) {
     private class Window(var startedAt: Long) {
@@ -36,3 +36,8 @@
         const val WINDOW_MS = 10_000L
     }
 }
+
+private const val MAX_NAMED = 5
+
+/** The size of this collection and its first elements, as a line of the log names them. */
+fun <T> Collection<T>.summarized(name: (T) -> String): String = "$size [${joinToString(limit = MAX_NAMED, transform = name)}]"
--- a/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/leader/HeartbeatResponder.kt
@@ -37,8 +37,8 @@
     }
 
     /**
-     * The commands about the tasks that [machine] reports in [heartbeat]. A worker executes a start again once it has forgotten the attempt,
-     * so the response that lets it forget also voids the starts that were sent. The worker forgets nothing before its next heartbeat if a
+     * The commands about the tasks that [machine] reports in [heartbeat]. A worker executes a start again once it has forgotten the
+     * attempt, so the response that lets it forget also voids the starts that were sent. The worker forgets nothing before its next heartbeat if a
      * message is on its way, which would be rejected, or if this heartbeat is not the [latest], since nobody may wait for its response.
      */
     private fun commandsFor(machine: Machine, heartbeat: Heartbeat, latest: Boolean): List<Command> {
@@ -53,9 +53,8 @@
         state.voidSentStarts(machine)
         state.messageCounters.forgotten += forgotten.size
         state.eventLog.log("attempts-forgotten", now) {
-            val named = forgotten.take(MAX_NAMED).joinToString { "${it.task} in attempt ${it.attempt}" }
-            val rest = if (forgotten.size > MAX_NAMED) ", ..." else ""
-            "${machine.name} may forget ${forgotten.size} [$named$rest] with token ${machine.token}, before $before"
+            val attempts = forgotten.summarized { "${it.task} in attempt ${it.attempt}" }
+            "${machine.name} may forget $attempts with token ${machine.token}, before $before"
         }
     }
 
@@ -96,8 +95,5 @@
     private companion object {
         /** At about 70 bytes each, they keep an answer's line below its maximum of 64 KiB. The rest follows with the next heartbeat. */
         const val MAX_COMMANDS = 600
-
-        /** The most attempts that one line of the log names. */
-        const val MAX_NAMED = 5
     }
 }
--- a/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/HeartbeatProcessor.kt
@@ -97,7 +97,7 @@
             Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.SAVING -> true
         }
 
-    /** The record of [job] was read. Handles the reports of its tasks that have waited for it and are still the latest of their machines. */
+    /** The record of [job] was read: handles the reports of its tasks that waited for it and are still the latest of their machines. */
     fun jobRecordRead(job: String, found: JobRecord, now: Long) {
         for (report in unknownJobs.recordRead(job, found, now)) {
             val lease = report.machine.lease
--- a/src/main/kotlin/org/honeyjunction/core/control/machines/UnknownJobs.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/machines/UnknownJobs.kt
@@ -8,11 +8,11 @@
 import org.honeyjunction.core.model.Machine
 
 /**
- * Settles live tasks that workers report and whose jobs the leader does not know. A new leader reads the records of active jobs, and of those
- * ended jobs that a journal page names; a task of any other job that ended is found only when its worker reports it.
+ * Settles live tasks that workers report and whose jobs the leader does not know. A new leader reads the records of active jobs, and of
+ * those ended jobs that a journal page names; a task of any other job that ended is found only when its worker reports it.
  *
- * The record of such a job is read. If the job has ended, it is added to the state, so that its task is placed, recorded and stopped like any
- * other task of an ended job. Otherwise nothing is stopped: an active job will be observed, and without a record nothing is known. Reports
+ * The record of such a job is read. If the job has ended, it is added to the state, so that its task is placed, recorded and stopped like
+ * any other task of an ended job. Otherwise nothing is stopped: an active job will be observed, and without a record nothing is known. Reports
  * repeat, so that what is not settled comes again; the number of jobs and attempts kept here and of concurrent reads is limited.
  *
  * Times are monotonic milliseconds.
@@ -30,8 +30,8 @@
     }
 
     private val lookups = LinkedHashMap<String, Lookup>()
-    private var readsInFlight = 0
-    private var attempts = 0
+    private val readsInFlight get() = lookups.values.count { it.reading }
+    private val attempts get() = lookups.values.sumOf { it.reports.size }
 
     /** The number of live tasks that were reported, of jobs that have ended and were not known. */
     private var settledTasks = 0L
@@ -40,7 +40,7 @@
     fun reported(machine: Machine, task: ReportedTask, now: Long) {
         val lookup = lookups[task.job] ?: newLookup(task.job, now) ?: return
         if (attempts >= MAX_ATTEMPTS) return
-        if (lookup.reports.put(task.id, Report(machine, machine.lease.session, task)) == null) attempts++
+        lookup.reports[task.id] = Report(machine, machine.lease.session, task)
         state.eventLog.log("unknown-task", now) {
             "${machine.name} reports ${task.task} in attempt ${task.attempt} as ${task.state}, of a job that this leader does not know"
         }
@@ -49,12 +49,8 @@
 
     /** A new report of [machine] takes the place of its earlier ones. */
     fun discardReportsOf(machine: Machine) {
-        if (attempts == 0) return
-        for (lookup in lookups.values) {
-            val before = lookup.reports.size
-            lookup.reports.values.removeIf { it.machine === machine }
-            attempts -= before - lookup.reports.size
-        }
+        if (lookups.isEmpty()) return
+        for (lookup in lookups.values) lookup.reports.values.removeIf { it.machine === machine }
     }
 
     private fun newLookup(job: String, now: Long): Lookup? {
@@ -64,11 +60,12 @@
     }
 
     private fun startReads(now: Long) {
+        var reads = readsInFlight
         for ((job, lookup) in lookups) {
-            if (readsInFlight >= MAX_READS) return
+            if (reads >= MAX_READS) return
             if (lookup.reading || lookup.reports.isEmpty() || lookup.readNotBefore > now) continue
             lookup.reading = true
-            readsInFlight++
+            reads++
             state.effects += Effect.ReadJobRecord(job)
         }
     }
@@ -80,12 +77,10 @@
     fun recordRead(job: String, found: JobRecord, now: Long): List<Report> {
         val lookup = lookups[job]?.takeIf { it.reading } ?: return emptyList()
         lookup.reading = false
-        readsInFlight--
         if (found is JobRecord.Finished) state.addJob(found.record, now, found.record.createdAtWall)
         val settled = state.job(job) != null
         if (settled) lookups -= job else postpone(lookup, found, now)
         val reports = if (settled) lookup.reports.values.toList() else emptyList()
-        attempts -= reports.size
         settledTasks += reports.size
         state.eventLog.log("unknown-job-read", now) { "$job ${describe(found)}; ${reports.size} reported tasks of it are settled" }
         startReads(now)
--- a/src/main/kotlin/org/honeyjunction/core/control/messages/Effect.kt
+++ b/src/main/kotlin/org/honeyjunction/core/control/messages/Effect.kt
@@ -26,7 +26,10 @@
     /** Releases [machines]. */
     data class ScaleIn(val machines: List<String>) : Effect
 
-    /** Reads the record of [job]: a write of its terminal state was rejected or not answered, or a worker reports a task of it and it is not known. */
+    /**
+     * Reads the record of [job]: a write of its terminal state was rejected or not answered, or a worker reports a task of it and the leader
+     * does not know it.
+     */
     data class ReadJobRecord(val job: String) : Effect
 
     /** Reports that a user's cancellation is durable; [done]: the job had already completed. */
--- a/src/main/kotlin/org/honeyjunction/fake/FakeWorker.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/FakeWorker.kt
@@ -209,6 +209,13 @@
         return true
     }
 
+    /** Handles a copy of commands that were executed before. Returns the attempts that it adds, of which there must be none. */
+    fun commandCopy(withToken: Long, ofSession: Long, commands: List<Command>, now: Long): Set<Attempt> {
+        val known = tasks.keys.toSet()
+        command(withToken, ofSession, commands, now)
+        return tasks.keys - known
+    }
+
     private fun learn(seen: Long) {
         if (seen > token) changes++
         token = maxOf(token, seen)
--- a/src/main/kotlin/org/honeyjunction/fake/Fault.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/Fault.kt
@@ -64,7 +64,7 @@
         /** Of four in ten heartbeats a copy arrives again, from 2 s to two leases later. */
         REPEAT,
 
-        /** Of four in ten messages with commands that a worker has executed and answered a copy arrives, from 0.1 s to three leases later. */
+        /** Of four in ten messages that a worker has executed and answered a copy arrives, from 0.1 s to three leases later. */
         COPY,
 
         /** Copies of four in ten heartbeats are recorded, and reach every controller when the next terms begin. */
--- a/src/main/kotlin/org/honeyjunction/fake/WorkerHost.kt
+++ b/src/main/kotlin/org/honeyjunction/fake/WorkerHost.kt
@@ -87,9 +87,7 @@
             delay(afterMs)
             while (held()) delay(STEP_MS)
             worker.advance(now())
-            val known = worker.tasks.keys.toSet()
-            worker.command(call.token, call.session, call.commands, now())
-            onCopyExecuted(worker.tasks.keys - known)
+            onCopyExecuted(worker.commandCopy(call.token, call.session, call.commands, now()))
         }
     }
 
--- a/src/main/kotlin/org/honeyjunction/simulation/WorkerNetwork.kt
+++ b/src/main/kotlin/org/honeyjunction/simulation/WorkerNetwork.kt
@@ -153,10 +153,8 @@
     private fun receiveCopy(effect: Effect.Send) {
         val worker = context.workers[effect.machine]?.takeIf { !it.silent(context.now) } ?: return
         worker.advance(context.now)
-        val known = worker.tasks.keys.toSet()
         commandCopies++
-        worker.command(effect.token, effect.session, effect.commands, context.now)
-        val started = worker.tasks.keys - known
+        val started = worker.commandCopy(effect.token, effect.session, effect.commands, context.now)
         if (started.isNotEmpty()) context.history.note(context.now, "copy_started: $started on ${worker.name}")
     }
 
--- a/src/test/kotlin/org/honeyjunction/core/control/leader/ForgottenAttemptsTest.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/leader/ForgottenAttemptsTest.kt
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
-/** Guards against a worker that forgets an attempt while it would still execute a copy of its start, and against starts lost by the remedy. */
+/** Guards against a copy of a start that is executed after its attempt was forgotten, and against starts that are lost by the remedy. */
 class ForgottenAttemptsTest {
     private val setup = ClusterSetup(limits = mapOf("a" to 1_000.0), guarantee = 1_000.0, pageBytes = 60_000)
     private var now = 10_000L
--- a/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
+++ b/src/test/kotlin/org/honeyjunction/core/control/machines/RestartWalk.kt
@@ -267,9 +267,7 @@
 
     /** A copy of a message that was executed before must not start anything. */
     private fun arriveAgain(message: Effect.Send) {
-        val known = machine.tasks.keys.toSet()
-        arrive(message)
-        val started = machine.tasks.keys - known
+        val started = machine.commandCopy(message.token, message.session, message.commands, now)
         if (started.isNotEmpty()) broken += "$now: a copy started $started"
     }
 
